--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,31 @@
+#include "cli/commands.h"
+
+#include "cli/operator.h"
+#include "cli/roles.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+namespace pimentoshed::cli
+{
+
+int run(int argc, const char *const *argv)
+{
+    CLI::App app("pimentoshed: a load balancer for servers whose load shifts in milliseconds");
+    app.require_subcommand(1);
+    auto exitCode = ExitCode::Success;
+    addControl(app, exitCode);
+    addEntry(app, exitCode);
+    addOperatorCommands(app, exitCode);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::Success &success) {
+        return app.exit(success);
+    } catch (const CLI::ParseError &failure) {
+        fmt::print(stderr, "E1001 setting-invalid: {}\n", failure.what());
+        return static_cast<int>(ExitCode::Usage);
+    }
+    return static_cast<int>(exitCode);
+}
+
+} // namespace pimentoshed::cli
--- /dev/null
+++ b/src/cli/operator.cpp
@@ -0,0 +1,186 @@
+#include "cli/operator.h"
+
+#include "configuration/parser.h"
+#include "http/client.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+
+namespace pimentoshed::cli
+{
+
+namespace
+{
+
+constexpr auto AnswerTimeout = std::chrono::seconds(10);
+
+/** What the operators' commands are given. */
+struct OperatorFlags {
+    std::string address;
+    std::string file;
+    std::string domain;
+    std::string changeId;
+};
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        fmt::print(stderr, "{}\n", core::describe({core::ErrorCode::FileUnreadable, path}));
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+std::string makeChangeId()
+{
+    std::random_device device;
+    return fmt::format("{:08x}{:08x}", device(), device());
+}
+
+std::string changeIdOf(const OperatorFlags &flags)
+{
+    return flags.changeId.empty() ? makeChangeId() : flags.changeId;
+}
+
+/** Sends @p request and prints the answer. */
+ExitCode sendAndPrint(const std::string &address, const http::ClientRequest &request)
+{
+    const auto answer = http::fetch(address, request, AnswerTimeout);
+    if (!core::ok(answer)) {
+        fmt::print(stderr, "{}\n", core::describe(core::error(answer)));
+        return ExitCode::Unreachable;
+    }
+    const auto &[status, headers, body] = core::value(answer);
+    constexpr unsigned Ok = 200;
+    fmt::print(status == Ok ? stdout : stderr, "{}", body);
+    return status == Ok ? ExitCode::Success : ExitCode::Refused;
+}
+
+ExitCode check(const OperatorFlags &flags)
+{
+    const auto text = readFile(flags.file);
+    if (!text) {
+        return ExitCode::Refused;
+    }
+    const auto parsed = configuration::parse(*text);
+    if (const auto *mistakes = std::get_if<std::vector<configuration::Mistake>>(&parsed)) {
+        for (const auto &mistake : *mistakes) {
+            fmt::print(stderr, "{}:{}\n", flags.file, configuration::describe(mistake));
+        }
+        return ExitCode::Refused;
+    }
+    fmt::print("{}: valid\n", flags.file);
+    return ExitCode::Success;
+}
+
+ExitCode apply(const OperatorFlags &flags)
+{
+    auto text = readFile(flags.file);
+    if (!text) {
+        return ExitCode::Refused;
+    }
+    http::ClientRequest request;
+    request.method = "POST";
+    request.target = "/pimentoshed/v1/configuration";
+    request.headers.emplace_back("Change-Id", changeIdOf(flags));
+    request.body = std::move(*text);
+    return sendAndPrint(flags.address, request);
+}
+
+/** How often @p domain has changed, as the control host says. */
+std::optional<std::uint64_t> changesOf(const OperatorFlags &flags)
+{
+    const auto answer = http::fetch(flags.address, {"GET", "/pimentoshed/v1/state", {}, {}}, AnswerTimeout);
+    if (!core::ok(answer)) {
+        fmt::print(stderr, "{}\n", core::describe(core::error(answer)));
+        return std::nullopt;
+    }
+    const auto state = nlohmann::json::parse(core::value(answer).body, nullptr, false);
+    const nlohmann::json::json_pointer place("/standing/failure_domains/" + flags.domain + "/changes");
+    if (state.is_discarded() || !state.contains(place)) {
+        fmt::print(stderr, "{}\n", core::describe({core::ErrorCode::UnknownDomain, flags.domain}));
+        return std::nullopt;
+    }
+    return state.at(place).get<std::uint64_t>();
+}
+
+ExitCode moveDomain(const OperatorFlags &flags, const std::string &verb)
+{
+    const auto replaces = changesOf(flags);
+    if (!replaces) {
+        return ExitCode::Refused;
+    }
+    http::ClientRequest request;
+    request.method = "POST";
+    request.target = fmt::format("/pimentoshed/v1/failure-domains/{}/{}?replaces={}", flags.domain, verb, *replaces);
+    request.headers.emplace_back("Change-Id", changeIdOf(flags));
+    return sendAndPrint(flags.address, request);
+}
+
+CLI::App *addCommand(CLI::App &app,
+                     const std::string &name,
+                     const std::string &description,
+                     const std::shared_ptr<OperatorFlags> &flags)
+{
+    auto *command = app.add_subcommand(name, description);
+    command->add_option("--at", flags->address, "IP:PORT of the host to ask")->envname("PIMENTOSHED_AT")->required();
+    return command;
+}
+
+void addDomainCommand(CLI::App &app, const std::string &verb, const std::string &description, ExitCode &exitCode)
+{
+    const auto flags = std::make_shared<OperatorFlags>();
+    auto *command = addCommand(app, verb, description, flags);
+    command->add_option("domain", flags->domain, "The failure domain")->required();
+    command->add_option("--change-id", flags->changeId, "Names the change when it is sent again");
+    command->callback([flags, verb, &exitCode]() {
+        exitCode = moveDomain(*flags, verb);
+    });
+}
+
+void addFileCommands(CLI::App &app, ExitCode &exitCode)
+{
+    const auto flags = std::make_shared<OperatorFlags>();
+    auto *checking = app.add_subcommand("check", "Checks an operator's file");
+    checking->add_option("file", flags->file, "The file")->required();
+    checking->callback([flags, &exitCode]() {
+        exitCode = check(*flags);
+    });
+    auto *applying = addCommand(app, "apply", "Applies an operator's file as a whole", flags);
+    applying->add_option("file", flags->file, "The file")->required();
+    applying->add_option("--change-id", flags->changeId, "Names the change when it is sent again");
+    applying->callback([flags, &exitCode]() {
+        exitCode = apply(*flags);
+    });
+}
+
+} // namespace
+
+void addOperatorCommands(CLI::App &app, ExitCode &exitCode)
+{
+    addFileCommands(app, exitCode);
+    addDomainCommand(app, "take-out", "Takes a failure domain out of service", exitCode);
+    addDomainCommand(app, "return", "Returns a failure domain to service", exitCode);
+
+    const auto stateFlags = std::make_shared<OperatorFlags>();
+    auto *state = addCommand(app, "state", "Dumps the state of one process as JSON", stateFlags);
+    state->callback([stateFlags, &exitCode]() {
+        exitCode = sendAndPrint(stateFlags->address, {"GET", "/pimentoshed/v1/state", {}, {}});
+    });
+    const auto callerFlags = std::make_shared<OperatorFlags>();
+    auto *addresses = addCommand(app, "addresses", "Prints what a caller would be told", callerFlags);
+    addresses->add_option("--failure-domain", callerFlags->domain, "The caller's failure domain");
+    addresses->callback([callerFlags, &exitCode]() {
+        const auto target = "/pimentoshed/v1/addresses?failure_domain=" + callerFlags->domain;
+        exitCode = sendAndPrint(callerFlags->address, {"GET", target, {}, {}});
+    });
+}
+
+} // namespace pimentoshed::cli
--- /dev/null
+++ b/src/cli/roles.cpp
@@ -0,0 +1,156 @@
+#include "cli/roles.h"
+
+#include "control/controlhost.h"
+#include "core/log.h"
+#include "entry/entryhost.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <memory>
+
+namespace pimentoshed::cli
+{
+
+namespace
+{
+
+/** Signals that ask for a stop. Must be blocked before any thread starts, so that only waitForStop takes them. */
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+void blockStopSignals()
+{
+    const auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void waitForStop()
+{
+    const auto signals = stopSignals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    core::log(core::LogLevel::Info, "stop-asked", {{"signal", signal}});
+}
+
+ExitCode failedStart(const core::Error &error)
+{
+    core::log(core::LogLevel::Error, "start-failed", {{"error", describe(error)}});
+    return ExitCode::StartFailed;
+}
+
+ExitCode runControl(const control::ControlSettings &settings)
+{
+    blockStopSignals();
+    core::setLogHost(settings.id.str());
+    const auto host = control::ControlHost::start(settings);
+    if (!core::ok(host)) {
+        return failedStart(core::error(host));
+    }
+    waitForStop();
+    core::value(host)->stop();
+    core::log(core::LogLevel::Info, "stopped");
+    return ExitCode::Success;
+}
+
+ExitCode runEntry(const entry::EntrySettings &settings)
+{
+    blockStopSignals();
+    core::setLogHost(settings.id.str());
+    const auto host = entry::EntryHost::start(settings);
+    if (!core::ok(host)) {
+        return failedStart(core::error(host));
+    }
+    waitForStop();
+    const auto left = core::value(host)->stop();
+    core::log(left == 0 ? core::LogLevel::Info : core::LogLevel::Error, "stopped", {{"requests_cut", left}});
+    return left == 0 ? ExitCode::Success : ExitCode::StoppedWithWork;
+}
+
+/** Values as CLI11 reads them, before they become settings. */
+struct EntryFlags {
+    std::string id;
+    std::string domain;
+    std::string picker = "least-requests";
+    unsigned stopLimitSeconds = 30;
+    entry::EntrySettings settings;
+};
+
+} // namespace
+
+void addControl(CLI::App &app, ExitCode &exitCode)
+{
+    auto *command = app.add_subcommand("control", "Runs a control host until SIGTERM");
+    const auto settings = std::make_shared<control::ControlSettings>();
+    const auto id = std::make_shared<std::string>();
+    command->add_option("--id", *id, "This host's name")->envname("PIMENTOSHED_ID")->required();
+    command->add_option("--operator-listen", settings->operatorListen, "IP:PORT for operators")
+        ->envname("PIMENTOSHED_OPERATOR_LISTEN")
+        ->required();
+    command->add_option("--rpc-listen", settings->rpcListen, "IP:PORT for the system's own hosts")
+        ->envname("PIMENTOSHED_RPC_LISTEN")
+        ->required();
+    command->add_option("--data-folder", settings->dataFolder, "Folder for this host's durable state")
+        ->envname("PIMENTOSHED_DATA_FOLDER")
+        ->required();
+    command->add_option("--workers", settings->workers, "Worker threads")
+        ->envname("PIMENTOSHED_WORKERS")
+        ->check(CLI::Range(1, 64))
+        ->capture_default_str();
+    command->callback([settings, id, &exitCode]() {
+        settings->id = core::HostId(*id);
+        exitCode = runControl(*settings);
+    });
+}
+
+void addEntry(CLI::App &app, ExitCode &exitCode)
+{
+    auto *command = app.add_subcommand("entry", "Runs an entry host until SIGTERM");
+    const auto flags = std::make_shared<EntryFlags>();
+    auto &settings = flags->settings;
+    command->add_option("--id", flags->id, "This host's name")->envname("PIMENTOSHED_ID")->required();
+    command->add_option("--failure-domain", flags->domain, "This host's failure domain")
+        ->envname("PIMENTOSHED_FAILURE_DOMAIN")
+        ->required();
+    command->add_option("--listen", settings.callerListen, "IP:PORT for callers")
+        ->envname("PIMENTOSHED_LISTEN")
+        ->required();
+    command->add_option("--platform-listen", settings.platformListen, "IP:PORT for targets, state and metrics")
+        ->envname("PIMENTOSHED_PLATFORM_LISTEN")
+        ->required();
+    command->add_option("--control", settings.controlAddresses, "RPC addresses of the control hosts, comma-separated")
+        ->envname("PIMENTOSHED_CONTROL")
+        ->delimiter(',')
+        ->required();
+    command->add_option("--workers", settings.workers, "Worker threads")
+        ->envname("PIMENTOSHED_WORKERS")
+        ->check(CLI::Range(1, 64))
+        ->capture_default_str();
+    command->add_option("--picker", flags->picker, "How targets are chosen")
+        ->envname("PIMENTOSHED_PICKER")
+        ->check([](const std::string &name) {
+            return core::valueOf(routing::PickerNames, name) ? std::string() : "no picker is called " + name;
+        })
+        ->capture_default_str();
+    command->add_option("--stop-limit", flags->stopLimitSeconds, "Seconds that a stop waits for requests in progress")
+        ->envname("PIMENTOSHED_STOP_LIMIT")
+        ->check(CLI::Range(0, 3600))
+        ->capture_default_str();
+    command->callback([flags, &exitCode]() {
+        auto &chosen = flags->settings;
+        chosen.id = core::HostId(flags->id);
+        chosen.domain = core::FailureDomain(flags->domain);
+        chosen.picker = core::valueOf(routing::PickerNames, flags->picker).value_or(chosen.picker);
+        chosen.stopLimit = std::chrono::seconds(flags->stopLimitSeconds);
+        exitCode = runEntry(chosen);
+    });
+}
+
+} // namespace pimentoshed::cli
--- /dev/null
+++ b/src/control/followdesk.h
@@ -0,0 +1,59 @@
+/**
+ * @file
+ * Holds the entry hosts' follow calls until there is something new for them.
+ */
+#pragma once
+
+#include "changes/ledger.h"
+#include "core/rankedmutex.h"
+#include "core/time.h"
+#include "membership/hub.h"
+#include "rpc/controlserver.h"
+
+#include <functional>
+#include <vector>
+
+namespace pimentoshed::control
+{
+
+/** Answers each call once: at the first change after it, or when its hold ends. Thread-safe; rank Connections. */
+class FollowDesk
+{
+public:
+    /** Where the desk reads what is new. */
+    struct Sources {
+        std::function<changes::Standing()> standing;
+        const membership::Hub &hub;
+        std::uint64_t feedId = 0;
+    };
+
+    explicit FollowDesk(Sources sources);
+
+    void take(const rpc::FollowRequest &request, const rpc::Respond<rpc::FollowReply> &respond, core::TimePoint now);
+
+    /** Answers the calls that something new concerns, and those whose hold ended by @p now. */
+    void serve(core::TimePoint now);
+
+    /** Answers every call held, and from now on each at once. */
+    void close();
+
+private:
+    struct Held {
+        rpc::FollowRequest request;
+        rpc::Respond<rpc::FollowReply> respond;
+        core::TimePoint until;
+    };
+
+    /** Keeps the call unless the desk is closed. Whether it was kept. */
+    bool hold(const Held &held);
+    bool hasNews(const rpc::FollowRequest &request) const;
+    rpc::FollowReply answer(const rpc::FollowRequest &request) const;
+    std::uint64_t positionOf(const rpc::FollowRequest &request) const;
+
+    const Sources m_sources;
+    core::RankedMutex m_mutex{core::LockRank::Connections};
+    std::vector<Held> m_held;
+    bool m_closed = false;
+};
+
+} // namespace pimentoshed::control
--- /dev/null
+++ b/src/control/operatorfront.cpp
@@ -0,0 +1,137 @@
+#include "control/operatorfront.h"
+
+#include "http/json.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace pimentoshed::control
+{
+
+using boost::beast::http::status;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr std::uint64_t FileBytes = 16U << 20U;
+constexpr std::string_view DomainPrefix = "/pimentoshed/v1/failure-domains/";
+
+http::Reply answerReply(const changes::Answer &answer)
+{
+    if (!core::ok(answer)) {
+        return http::errorReply(status::conflict, core::error(answer));
+    }
+    const auto &accepted = core::value(answer);
+    return http::jsonReply(status::ok, {{"revision", accepted.revision}, {"version", accepted.version}});
+}
+
+json describeStanding(const changes::Standing &standing)
+{
+    json domains = json::object();
+    for (const auto &[name, domain] : standing.domains) {
+        domains[name.str()] = {{"out", domain.out}, {"changes", domain.changes}};
+    }
+    return {{"revision", standing.revision}, {"version", standing.version}, {"failure_domains", domains}};
+}
+
+json describeHosts(const std::vector<membership::EntryHost> &hosts)
+{
+    json list = json::array();
+    for (const auto &host : hosts) {
+        list.push_back({{"id", host.id.str()},
+                        {"failure_domain", host.domain.str()},
+                        {"address", host.address},
+                        {"stopping", host.stopping}});
+    }
+    return list;
+}
+
+/** Serves one control host's operators. */
+class Front
+{
+public:
+    Front(core::HostId id, OperatorHooks hooks)
+        : m_id(std::move(id))
+        , m_hooks(std::move(hooks))
+    {
+    }
+
+    void handle(http::Exchange &exchange) const
+    {
+        const auto path = exchange.path();
+        if (path == "/pimentoshed/v1/configuration" && exchange.method() == "POST") {
+            exchange.send(applyFile(exchange));
+        } else if (path.starts_with(DomainPrefix) && exchange.method() == "POST") {
+            exchange.send(moveDomain(exchange, path.substr(DomainPrefix.size())));
+        } else if (path == "/pimentoshed/v1/state") {
+            exchange.send(state());
+        } else {
+            exchange.send(http::notFound());
+        }
+    }
+
+private:
+    http::Reply applyFile(http::Exchange &exchange) const
+    {
+        auto body = exchange.readBody(FileBytes);
+        if (!core::ok(body)) {
+            return http::errorReply(status::bad_request, core::error(body));
+        }
+        const core::ChangeId id{std::string(exchange.header("Change-Id"))};
+        if (id.empty()) {
+            return http::errorReply(status::bad_request, {core::ErrorCode::RequestMalformed, "no Change-Id"});
+        }
+        return answerReply(m_hooks.change(changes::ApplyFile{id, std::move(core::value(body))}));
+    }
+
+    http::Reply moveDomain(http::Exchange &exchange, std::string_view rest) const
+    {
+        const auto slash = rest.find('/');
+        const auto verb = slash == std::string_view::npos ? std::string_view{} : rest.substr(slash + 1);
+        const auto replaces = number(exchange.queryValue("replaces"));
+        changes::MoveDomain change;
+        change.id = core::ChangeId(std::string(exchange.header("Change-Id")));
+        if ((verb != "take-out" && verb != "return") || change.id.empty() || !replaces) {
+            return http::errorReply(status::bad_request, {core::ErrorCode::RequestMalformed, "no such change"});
+        }
+        change.domain = core::FailureDomain(std::string(rest.substr(0, slash)));
+        change.out = verb == "take-out";
+        change.replaces = *replaces;
+        return answerReply(m_hooks.change(change));
+    }
+
+    static std::optional<std::uint64_t> number(std::string_view text)
+    {
+        std::uint64_t parsed = 0;
+        const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), parsed);
+        return code == std::errc() && end == text.data() + text.size() && !text.empty() ? std::optional(parsed)
+                                                                                        : std::nullopt;
+    }
+
+    http::Reply state() const
+    {
+        return http::jsonReply(status::ok,
+                               {{"role", "control"},
+                                {"id", m_id.str()},
+                                {"standing", describeStanding(m_hooks.standing())},
+                                {"entry_hosts", describeHosts(m_hooks.hosts())},
+                                {"targets", m_hooks.targetCount()}});
+    }
+
+    const core::HostId m_id;
+    const OperatorHooks m_hooks;
+};
+
+} // namespace
+
+http::Handler operatorHandler(core::HostId id, OperatorHooks hooks)
+{
+    const auto front = std::make_shared<Front>(std::move(id), std::move(hooks));
+    return [front](http::Exchange &exchange) {
+        front->handle(exchange);
+    };
+}
+
+} // namespace pimentoshed::control
--- /dev/null
+++ b/src/core/error.cpp
@@ -0,0 +1,79 @@
+#include "core/error.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace pimentoshed::core
+{
+
+namespace
+{
+
+constexpr std::array Errors{
+    ErrorRow{ErrorCode::SettingInvalid, "setting-invalid", "a flag or environment variable has an unusable value"},
+    ErrorRow{ErrorCode::FileUnreadable, "file-unreadable", "a named file can't be opened or read"},
+    ErrorRow{ErrorCode::ListenFailed, "listen-failed", "an address can't be bound"},
+    ErrorRow{ErrorCode::ConfigSyntax, "config-syntax", "the operator's file is not valid TOML"},
+    ErrorRow{ErrorCode::ConfigUnknownKey, "config-unknown-key", "the operator's file has a key that is not known"},
+    ErrorRow{ErrorCode::ConfigMissingKey, "config-missing-key", "the operator's file lacks a required key"},
+    ErrorRow{ErrorCode::ConfigWrongType, "config-wrong-type", "a value has another type than its key takes"},
+    ErrorRow{ErrorCode::ConfigOutOfBounds, "config-out-of-bounds", "a value lies outside its key's bounds"},
+    ErrorRow{ErrorCode::ConfigUnknownName, "config-unknown-name", "a value names something the file does not define"},
+    ErrorRow{ErrorCode::ConfigDuplicate, "config-duplicate", "two entries that must differ are the same"},
+    ErrorRow{ErrorCode::VersionConflict, "version-conflict", "another change already replaced the named version"},
+    ErrorRow{ErrorCode::UnknownDomain, "unknown-domain", "no such failure domain is configured"},
+    ErrorRow{ErrorCode::ChangeSuperseded, "change-superseded", "a later change came before this one; nothing changed"},
+    ErrorRow{ErrorCode::ChangeNotCommitted, "change-not-committed", "whether the change will be accepted is unknown"},
+    ErrorRow{ErrorCode::NoQuorum, "no-quorum", "the control hosts have no quorum; the change was not accepted"},
+    ErrorRow{ErrorCode::NotLeader, "not-leader", "this control host is not the leader"},
+    ErrorRow{ErrorCode::NoSuchService, "no-such-service", "no configured service matches the request"},
+    ErrorRow{ErrorCode::NoTarget, "no-target", "no target can take the request now"},
+    ErrorRow{ErrorCode::NotCurrent, "not-current", "this entry host can't know its configuration to be current"},
+    ErrorRow{ErrorCode::DeadlinePassed, "deadline-passed", "the request's deadline passed"},
+    ErrorRow{ErrorCode::QueueFull, "queue-full", "the queue for the service is full"},
+    ErrorRow{ErrorCode::TargetFailed, "target-failed", "the target failed while it had the request"},
+    ErrorRow{ErrorCode::RequestMalformed, "request-malformed", "the request is not valid HTTP or lacks what is needed"},
+    ErrorRow{ErrorCode::RequestTooLarge, "request-too-large", "the request is larger than its service accepts"},
+    ErrorRow{ErrorCode::RequestKeyMissing, "request-key-missing", "a non-idempotent request carries no request key"},
+    ErrorRow{ErrorCode::RequestKeyUsed, "request-key-used", "a request with this key was already given to a target"},
+    ErrorRow{ErrorCode::Stopping, "stopping", "this host is stopping"},
+    ErrorRow{ErrorCode::AnswerTruncated, "answer-truncated", "the target's answer ended early"},
+    ErrorRow{ErrorCode::ClaimFailed, "claim-failed", "the request's key could not be claimed in time"},
+    ErrorRow{ErrorCode::CallerTooSlow, "caller-too-slow", "the caller sent or read too slowly"},
+    ErrorRow{ErrorCode::AnnouncementMalformed, "announcement-malformed", "a target's announcement can't be understood"},
+    ErrorRow{ErrorCode::AnnouncementStale, "announcement-stale", "a newer announcement of this target is known"},
+    ErrorRow{ErrorCode::JournalDamaged, "journal-damaged", "the journal is damaged before its tail"},
+    ErrorRow{ErrorCode::JournalWriteFailed, "journal-write-failed", "the journal could not be written or synced"},
+    ErrorRow{ErrorCode::SnapshotDamaged, "snapshot-damaged", "the snapshot is damaged"},
+    ErrorRow{ErrorCode::DataFolderForeign, "data-folder-foreign", "the data folder belongs to another host"},
+    ErrorRow{ErrorCode::TraceMalformed, "trace-malformed", "the trace can't be understood"},
+    ErrorRow{ErrorCode::PeerUnreachable, "peer-unreachable", "another host does not answer"},
+    ErrorRow{ErrorCode::MessageMalformed, "message-malformed", "a message between hosts can't be understood"},
+};
+
+} // namespace
+
+std::span<const ErrorRow> errorTable()
+{
+    return Errors;
+}
+
+std::string_view errorName(ErrorCode code)
+{
+    const auto row = std::find_if(Errors.begin(), Errors.end(), [code](const ErrorRow &candidate) {
+        return candidate.code == code;
+    });
+    return row == Errors.end() ? std::string_view{} : row->name;
+}
+
+std::string describe(const Error &error)
+{
+    const auto number = static_cast<unsigned>(error.code);
+    if (error.detail.empty()) {
+        return fmt::format("E{} {}", number, errorName(error.code));
+    }
+    return fmt::format("E{} {}: {}", number, errorName(error.code), error.detail);
+}
+
+} // namespace pimentoshed::core
--- /dev/null
+++ b/src/entry/callerfront.cpp
@@ -0,0 +1,147 @@
+#include "entry/callerfront.h"
+
+#include "core/log.h"
+#include "http/json.h"
+#include "http/relay.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace pimentoshed::entry
+{
+
+using boost::beast::http::status;
+using core::ErrorCode;
+using requests::RunState;
+
+namespace
+{
+
+constexpr std::string_view AddressesPath = "/pimentoshed/v1/addresses";
+
+status statusOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::NoSuchService:
+        return status::not_found;
+    case ErrorCode::RequestMalformed:
+    case ErrorCode::RequestKeyMissing:
+        return status::bad_request;
+    case ErrorCode::RequestTooLarge:
+        return status::payload_too_large;
+    case ErrorCode::DeadlinePassed:
+        return status::gateway_timeout;
+    case ErrorCode::TargetFailed:
+    case ErrorCode::AnswerTruncated:
+        return status::bad_gateway;
+    case ErrorCode::RequestKeyUsed:
+        return status::conflict;
+    default:
+        return status::service_unavailable;
+    }
+}
+
+http::Reply refusal(const requests::Outcome &outcome)
+{
+    auto reply = http::errorReply(statusOf(outcome.failure->code), *outcome.failure);
+    reply.headers.emplace_back("Pimentoshed-Run", core::nameOf(requests::RunStateNames, outcome.run));
+    return reply;
+}
+
+http::Reply notRun(ErrorCode code, std::string detail)
+{
+    return refusal({RunState::NotRun, core::Error{code, std::move(detail)}});
+}
+
+/** Serves one entry host's callers. */
+class Front
+{
+public:
+    explicit Front(CallerParts parts)
+        : m_parts(std::move(parts))
+    {
+    }
+
+    void handle(http::Exchange &exchange) const
+    {
+        const auto standing = m_parts.view.current(m_parts.timers.now());
+        if (!core::ok(standing)) {
+            exchange.send(refusal({RunState::NotRun, core::error(standing)}));
+            return;
+        }
+        if (exchange.path() == AddressesPath) {
+            exchange.send(addresses(exchange, *core::value(standing)));
+            return;
+        }
+        serve(exchange, *core::value(standing));
+    }
+
+private:
+    http::Reply addresses(const http::Exchange &exchange, const changes::Standing &standing) const
+    {
+        const auto &limits = standing.configuration->limits;
+        const core::FailureDomain preferred{std::string(exchange.queryValue("failure_domain"))};
+        const auto chosen = membership::chooseAddresses(
+            m_parts.view.hosts(), outDomains(standing), preferred, limits.addressCount, m_parts.random);
+        const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(limits.addressLifetime).count();
+        return http::jsonReply(status::ok, {{"keep_ms", keep}, {"addresses", chosen}});
+    }
+
+    void serve(http::Exchange &exchange, const changes::Standing &standing) const
+    {
+        const auto *service = configuration::serviceForPath(*standing.configuration, exchange.path());
+        if (service == nullptr) {
+            exchange.send(notRun(ErrorCode::NoSuchService, std::string(exchange.path())));
+            return;
+        }
+        const bool idempotent = configuration::isIdempotent(*service, exchange.method());
+        if (!idempotent && exchange.header(service->requestKeyHeader).empty()) {
+            exchange.send(notRun(ErrorCode::RequestKeyMissing, service->requestKeyHeader));
+            return;
+        }
+        const auto assignment =
+            m_parts.router.assign(*service, m_parts.targets.ofService(service->name), outDomains(standing));
+        if (!core::ok(assignment)) {
+            exchange.send(refusal({RunState::NotRun, core::error(assignment)}));
+            return;
+        }
+        pass(exchange, *service, core::value(assignment));
+    }
+
+    void pass(http::Exchange &exchange,
+              const configuration::Service &service,
+              const routing::Assignment &assignment) const
+    {
+        http::RelayTerms terms;
+        terms.address = assignment.address;
+        terms.deadline = m_parts.timers.now() + service.deadline;
+        terms.maxRequestBytes = service.maxRequestBytes;
+        terms.shedIsNotRun = service.shedIsNotRun;
+        const auto result = http::relay(exchange, m_parts.connections, terms);
+        m_parts.router.release(assignment.target);
+        if (!result.outcome.failure) {
+            return;
+        }
+        core::log(core::LogLevel::Info,
+                  "attempt-failed",
+                  {{"target", assignment.target.str()}, {"error", describe(*result.outcome.failure)}});
+        if (!result.answered) {
+            exchange.send(refusal(result.outcome));
+        }
+    }
+
+    const CallerParts m_parts;
+};
+
+} // namespace
+
+http::Handler callerHandler(CallerParts parts)
+{
+    const auto front = std::make_shared<Front>(std::move(parts));
+    return [front](http::Exchange &exchange) {
+        front->handle(exchange);
+    };
+}
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/callerfront.h
@@ -0,0 +1,34 @@
+/**
+ * @file
+ * The callers' side of an entry host: which addresses to use, and their requests.
+ */
+#pragma once
+
+#include "core/timerservice.h"
+#include "entry/view.h"
+#include "http/connectionpool.h"
+#include "http/server.h"
+#include "routing/router.h"
+#include "targets/targettable.h"
+
+#include <functional>
+
+namespace pimentoshed::entry
+{
+
+/** What the front works with. */
+struct CallerParts {
+    View &view;
+    targets::TargetTable &targets;
+    routing::Router &router;
+    http::ConnectionPool &connections;
+    core::TimerService &timers;
+    core::RandomSource random;
+    /** Whether this host no longer gives out addresses. */
+    std::function<bool()> stopping;
+};
+
+/** The handler for an entry host's caller address. docs/INTERFACES.md lists what it serves. */
+http::Handler callerHandler(CallerParts parts);
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/entryhost.cpp
@@ -0,0 +1,229 @@
+#include "entry/entryhost.h"
+
+#include "core/log.h"
+#include "core/timerservice.h"
+#include "core/workerpool.h"
+#include "entry/callerfront.h"
+#include "entry/follower.h"
+#include "entry/targetfront.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <future>
+#include <random>
+#include <utility>
+
+namespace pimentoshed::entry
+{
+
+namespace
+{
+
+constexpr auto ExpiryPeriod = std::chrono::milliseconds(500);
+constexpr auto IdleConnectionLimit = std::chrono::seconds(30);
+constexpr auto DrainCheckPeriod = std::chrono::milliseconds(20);
+
+core::RandomSource threadRandom()
+{
+    return []() {
+        thread_local std::mt19937_64 engine{std::random_device{}()};
+        return engine();
+    };
+}
+
+std::uint64_t makeIncarnation()
+{
+    return static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+}
+
+} // namespace
+
+class EntryHost::Impl
+{
+public:
+    explicit Impl(const EntrySettings &settings)
+        : m_settings(settings)
+        , m_incarnation(makeIncarnation())
+        , m_router(routing::makePicker(settings.picker), settings.domain, threadRandom())
+        , m_pool(settings.workers)
+        , m_timers(m_pool.context())
+        , m_connections(m_pool.context())
+        , m_follower(std::make_shared<Follower>(Follower::Parts{m_pool,
+                                                                m_timers,
+                                                                m_view,
+                                                                m_targets,
+                                                                [this]() {
+                                                                    return self();
+                                                                }},
+                                                settings.controlAddresses))
+    {
+    }
+
+    core::Status start()
+    {
+        auto listening = listen();
+        if (!core::ok(listening)) {
+            return listening;
+        }
+        m_follower->start();
+        m_expiryTimer = m_timers.every(ExpiryPeriod, [this]() {
+            expire();
+        });
+        core::log(core::LogLevel::Info,
+                  "entry-started",
+                  {{"callers", m_callers->address()}, {"platform", m_platform->address()}});
+        return std::monostate{};
+    }
+
+    std::size_t stop()
+    {
+        if (m_stopped.exchange(true)) {
+            return 0;
+        }
+        m_stopping = true;
+        if (m_callers) {
+            m_callers->closeAfterAnswers();
+            waitFor(addressLifetime());
+            m_callers->drain();
+        }
+        const auto left = waitForRequests();
+        shutDown();
+        return left;
+    }
+
+    /** Ends everything at once. */
+    void shutDown()
+    {
+        m_stopped = true;
+        m_expiryTimer.cancel();
+        m_follower->stop();
+        if (m_platform) {
+            m_platform->drain();
+        }
+        m_pool.stop();
+    }
+
+private:
+    core::Status listen()
+    {
+        auto callers = http::Server::Builder(m_pool.context())
+                           .address(m_settings.callerListen)
+                           .handler(callerHandler({m_view,
+                                                   m_targets,
+                                                   m_router,
+                                                   m_connections,
+                                                   m_timers,
+                                                   threadRandom(),
+                                                   [this]() {
+                                                       return m_stopping.load();
+                                                   }}))
+                           .start();
+        if (!core::ok(callers)) {
+            return core::error(callers);
+        }
+        m_callers = core::value(callers);
+        auto platform = http::Server::Builder(m_pool.context())
+                            .address(m_settings.platformListen)
+                            .handler(targetHandler({m_view,
+                                                    m_targets,
+                                                    m_timers,
+                                                    [this]() {
+                                                        return self();
+                                                    },
+                                                    [this](const auto &target) {
+                                                        m_follower->report(target);
+                                                    },
+                                                    [this]() {
+                                                        return m_callers->inProgress();
+                                                    }}))
+                            .start();
+        if (!core::ok(platform)) {
+            return core::error(platform);
+        }
+        m_platform = core::value(platform);
+        return std::monostate{};
+    }
+
+    membership::EntryHost self() const
+    {
+        return {m_settings.id, m_settings.domain, m_settings.callerListen, m_incarnation, m_stopping};
+    }
+
+    void expire()
+    {
+        for (const auto &target : m_targets.expire(m_timers.now())) {
+            core::log(core::LogLevel::Warning, "target-lease-ended", {{"target", target.id.str()}});
+            m_follower->report(target);
+        }
+        m_connections.closeIdle(m_timers.now(), IdleConnectionLimit);
+    }
+
+    core::Duration addressLifetime() const
+    {
+        const auto standing = m_view.latest();
+        return standing ? standing->configuration->limits.addressLifetime : core::Duration{};
+    }
+
+    /** Waits on the timer service, as every wait here does. */
+    void waitFor(core::Duration duration)
+    {
+        std::promise<void> done;
+        const auto timer = m_timers.after(duration, [&done]() {
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    std::size_t waitForRequests()
+    {
+        const auto end = m_timers.now() + m_settings.stopLimit;
+        while (m_callers && m_callers->inProgress() > 0 && m_timers.now() < end) {
+            waitFor(DrainCheckPeriod);
+        }
+        return m_callers ? m_callers->inProgress() : 0;
+    }
+
+    const EntrySettings m_settings;
+    const std::uint64_t m_incarnation;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_stopped{false};
+    View m_view;
+    targets::TargetTable m_targets;
+    routing::Router m_router;
+    core::WorkerPool m_pool;
+    core::TimerService m_timers;
+    http::ConnectionPool m_connections;
+    std::shared_ptr<Follower> m_follower;
+    std::shared_ptr<http::Server> m_callers;
+    std::shared_ptr<http::Server> m_platform;
+    core::TimerSubscription m_expiryTimer;
+};
+
+EntryHost::EntryHost(std::shared_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+EntryHost::~EntryHost()
+{
+    m_impl->shutDown();
+}
+
+core::Result<std::unique_ptr<EntryHost>> EntryHost::start(const EntrySettings &settings)
+{
+    auto impl = std::make_shared<Impl>(settings);
+    const auto started = impl->start();
+    if (!core::ok(started)) {
+        impl->shutDown();
+        return core::error(started);
+    }
+    return std::unique_ptr<EntryHost>(new EntryHost(std::move(impl)));
+}
+
+std::size_t EntryHost::stop()
+{
+    return m_impl->stop();
+}
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/follower.cpp
@@ -0,0 +1,197 @@
+#include "entry/follower.h"
+
+#include "core/log.h"
+#include "rpc/codec.h"
+
+#include <utility>
+
+namespace pimentoshed::entry
+{
+
+namespace
+{
+
+constexpr auto Hold = std::chrono::milliseconds(500);
+constexpr auto FollowTimeout = std::chrono::milliseconds(1000);
+constexpr auto ReportTimeout = std::chrono::milliseconds(500);
+constexpr auto RetryDelay = std::chrono::milliseconds(100);
+
+} // namespace
+
+Follower::Follower(Parts parts, const std::vector<std::string> &controlAddresses)
+    : m_parts(std::move(parts))
+{
+    for (const auto &address : controlAddresses) {
+        m_clients.push_back(std::make_shared<rpc::ControlClient>(address));
+    }
+}
+
+void Follower::start()
+{
+    ask();
+}
+
+void Follower::stop()
+{
+    m_stopped = true;
+    const core::Lock lock(m_mutex);
+    m_askTimer.cancel();
+    m_reportTimer.cancel();
+}
+
+void Follower::report(const targets::Target &target)
+{
+    {
+        const core::Lock lock(m_mutex);
+        m_pending.insert_or_assign(target.id, target);
+        if (m_reporting) {
+            return;
+        }
+        m_reporting = true;
+    }
+    sendReports();
+}
+
+void Follower::ask()
+{
+    if (m_stopped) {
+        return;
+    }
+    rpc::FollowRequest request;
+    rpc::encode(m_parts.self(), *request.mutable_host());
+    request.set_revision(m_parts.view.revision());
+    request.set_feed_id(m_feedId);
+    request.set_feed_position(m_feedPosition);
+    request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
+    const auto asked = m_parts.timers.now();
+    client()->follow(request, FollowTimeout, [self = shared_from_this(), asked](core::Result<rpc::FollowReply> reply) {
+        self->m_parts.pool.post([self, asked, reply = std::move(reply)]() mutable {
+            self->take(std::move(reply), asked);
+        });
+    });
+}
+
+void Follower::take(core::Result<rpc::FollowReply> reply, core::TimePoint asked)
+{
+    if (m_stopped) {
+        return;
+    }
+    if (!core::ok(reply)) {
+        core::log(core::LogLevel::Warning, "follow-failed", {{"error", describe(core::error(reply))}});
+        moveOn();
+        later(RetryDelay, &Follower::ask);
+        return;
+    }
+    adopt(core::value(reply), asked);
+    ask();
+}
+
+void Follower::adopt(const rpc::FollowReply &reply, core::TimePoint asked)
+{
+    if (reply.has_standing()) {
+        auto standing = rpc::decode(reply.standing());
+        if (!core::ok(standing)) {
+            core::log(core::LogLevel::Error, "standing-refused", {{"error", describe(core::error(standing))}});
+            return;
+        }
+        m_parts.view.adopt(std::move(core::value(standing)));
+    }
+    for (const auto &message : reply.targets()) {
+        const auto target = rpc::decode(message);
+        if (core::ok(target)) {
+            m_parts.targets.learn(core::value(target));
+        }
+    }
+    if (reply.hosts_changed()) {
+        std::vector<membership::EntryHost> hosts;
+        for (const auto &host : reply.hosts()) {
+            hosts.push_back(rpc::decode(host));
+        }
+        m_parts.view.setHosts(std::move(hosts));
+    }
+    if (reply.current()) {
+        m_parts.view.confirm(reply.revision(), asked);
+    }
+    m_feedPosition = reply.feed_position();
+    if (m_feedId.exchange(reply.feed_id()) != reply.feed_id()) {
+        reportAllOwn();
+    }
+}
+
+void Follower::reportAllOwn()
+{
+    const auto self = m_parts.self().id;
+    for (const auto &target : m_parts.targets.all()) {
+        if (target.origin == self) {
+            report(target);
+        }
+    }
+}
+
+void Follower::sendReports()
+{
+    if (m_stopped) {
+        return;
+    }
+    rpc::ReportRequest request;
+    request.set_host(m_parts.self().id.str());
+    std::vector<targets::Target> sent;
+    {
+        const core::Lock lock(m_mutex);
+        if (m_pending.empty()) {
+            m_reporting = false;
+            return;
+        }
+        for (auto &[id, target] : m_pending) {
+            rpc::encode(target, *request.add_changes());
+            sent.push_back(std::move(target));
+        }
+        m_pending.clear();
+    }
+    client()->report(request,
+                     ReportTimeout,
+                     [self = shared_from_this(), sent = std::move(sent)](const core::Result<rpc::ReportReply> &reply) {
+                         self->m_parts.pool.post([self, sent, arrived = core::ok(reply)]() {
+                             self->reportEnded(sent, arrived);
+                         });
+                     });
+}
+
+void Follower::reportEnded(const std::vector<targets::Target> &sent, bool arrived)
+{
+    if (arrived) {
+        sendReports();
+        return;
+    }
+    {
+        const core::Lock lock(m_mutex);
+        for (const auto &target : sent) {
+            // A newer word that came meanwhile stays.
+            m_pending.try_emplace(target.id, target);
+        }
+    }
+    later(RetryDelay, &Follower::sendReports);
+}
+
+void Follower::moveOn()
+{
+    m_chosen = (m_chosen + 1) % m_clients.size();
+}
+
+void Follower::later(core::Duration delay, void (Follower::*step)())
+{
+    auto subscription = m_parts.timers.after(delay, [self = weak_from_this(), step]() {
+        if (const auto alive = self.lock()) {
+            (alive.get()->*step)();
+        }
+    });
+    const core::Lock lock(m_mutex);
+    (step == &Follower::ask ? m_askTimer : m_reportTimer) = std::move(subscription);
+}
+
+std::shared_ptr<rpc::ControlClient> Follower::client() const
+{
+    return m_clients[m_chosen];
+}
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/follower.h
@@ -0,0 +1,68 @@
+/**
+ * @file
+ * Keeps an entry host's view current by following one control host at a time, and reports its targets' words there.
+ */
+#pragma once
+
+#include "core/rankedmutex.h"
+#include "core/timerservice.h"
+#include "core/workerpool.h"
+#include "entry/view.h"
+#include "rpc/controlclient.h"
+#include "targets/targettable.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentoshed::entry
+{
+
+/** Follows until stopped. Thread-safe; rank Connections. */
+class Follower : public std::enable_shared_from_this<Follower>
+{
+public:
+    struct Parts {
+        core::WorkerPool &pool;
+        core::TimerService &timers;
+        View &view;
+        targets::TargetTable &targets;
+        std::function<membership::EntryHost()> self;
+    };
+
+    Follower(Parts parts, const std::vector<std::string> &controlAddresses);
+
+    void start();
+    void stop();
+
+    /** Passes @p target's word on to the control hosts. */
+    void report(const targets::Target &target);
+
+private:
+    void ask();
+    void take(core::Result<rpc::FollowReply> reply, core::TimePoint asked);
+    void adopt(const rpc::FollowReply &reply, core::TimePoint asked);
+    void reportAllOwn();
+    void sendReports();
+    void reportEnded(const std::vector<targets::Target> &sent, bool arrived);
+    void moveOn();
+    void later(core::Duration delay, void (Follower::*step)());
+    std::shared_ptr<rpc::ControlClient> client() const;
+
+    const Parts m_parts;
+    std::vector<std::shared_ptr<rpc::ControlClient>> m_clients;
+    std::atomic<std::size_t> m_chosen{0};
+    std::atomic<bool> m_stopped{false};
+    std::atomic<std::uint64_t> m_feedId{0};
+    std::atomic<std::uint64_t> m_feedPosition{0};
+    core::RankedMutex m_mutex{core::LockRank::Connections};
+    std::unordered_map<core::TargetId, targets::Target> m_pending;
+    bool m_reporting = false;
+    core::TimerSubscription m_askTimer;
+    core::TimerSubscription m_reportTimer;
+};
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/targetfront.h
@@ -0,0 +1,31 @@
+/**
+ * @file
+ * The targets' side of an entry host: announcements; and its state for operators.
+ */
+#pragma once
+
+#include "core/timerservice.h"
+#include "entry/view.h"
+#include "http/server.h"
+#include "targets/targettable.h"
+
+#include <functional>
+
+namespace pimentoshed::entry
+{
+
+/** What the front works with. */
+struct TargetParts {
+    View &view;
+    targets::TargetTable &targets;
+    core::TimerService &timers;
+    std::function<membership::EntryHost()> self;
+    /** Passes a changed word on. */
+    std::function<void(const targets::Target &)> report;
+    std::function<std::size_t()> inProgress;
+};
+
+/** The handler for an entry host's platform address. docs/INTERFACES.md lists what it serves. */
+http::Handler targetHandler(TargetParts parts);
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/view.cpp
@@ -0,0 +1,70 @@
+#include "entry/view.h"
+
+#include <utility>
+
+namespace pimentoshed::entry
+{
+
+bool View::adopt(changes::Standing standing)
+{
+    const core::Lock lock(m_mutex);
+    if (m_standing && standing.revision <= m_standing->revision) {
+        return false;
+    }
+    m_standing = std::make_shared<const changes::Standing>(std::move(standing));
+    return true;
+}
+
+void View::confirm(std::uint64_t revision, core::TimePoint asked)
+{
+    const core::Lock lock(m_mutex);
+    if (m_standing && m_standing->revision >= revision) {
+        m_permission.confirm(asked);
+    }
+}
+
+void View::setHosts(std::vector<membership::EntryHost> hosts)
+{
+    const core::Lock lock(m_mutex);
+    m_hosts = std::move(hosts);
+}
+
+core::Result<std::shared_ptr<const changes::Standing>> View::current(core::TimePoint now) const
+{
+    const core::Lock lock(m_mutex);
+    if (!m_standing || !m_permission.holds(now, m_standing->configuration->limits.permission)) {
+        return core::Error{core::ErrorCode::NotCurrent, {}};
+    }
+    return m_standing;
+}
+
+std::shared_ptr<const changes::Standing> View::latest() const
+{
+    const core::Lock lock(m_mutex);
+    return m_standing;
+}
+
+std::uint64_t View::revision() const
+{
+    const core::Lock lock(m_mutex);
+    return m_standing ? m_standing->revision : 0;
+}
+
+std::vector<membership::EntryHost> View::hosts() const
+{
+    const core::Lock lock(m_mutex);
+    return m_hosts;
+}
+
+std::vector<core::FailureDomain> outDomains(const changes::Standing &standing)
+{
+    std::vector<core::FailureDomain> domains;
+    for (const auto &[name, domain] : standing.domains) {
+        if (domain.out) {
+            domains.push_back(name);
+        }
+    }
+    return domains;
+}
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/view.h
@@ -0,0 +1,49 @@
+/**
+ * @file
+ * What an entry host knows of the system and how long it may act on it.
+ */
+#pragma once
+
+#include "changes/ledger.h"
+#include "core/rankedmutex.h"
+#include "membership/hosts.h"
+#include "membership/permission.h"
+
+#include <memory>
+#include <vector>
+
+namespace pimentoshed::entry
+{
+
+/** Never moves to an older revision. Thread-safe; rank Configuration. */
+class View
+{
+public:
+    /** Takes @p standing if it is newer. Whether it was. */
+    bool adopt(changes::Standing standing);
+
+    /** Takes a confirmation that @p revision was current at a question asked at @p asked. */
+    void confirm(std::uint64_t revision, core::TimePoint asked);
+
+    void setHosts(std::vector<membership::EntryHost> hosts);
+
+    /** What may be acted on at @p now. Error: NotCurrent. */
+    core::Result<std::shared_ptr<const changes::Standing>> current(core::TimePoint now) const;
+
+    /** What is known, current or not; nullptr at first. */
+    std::shared_ptr<const changes::Standing> latest() const;
+
+    std::uint64_t revision() const;
+    std::vector<membership::EntryHost> hosts() const;
+
+private:
+    mutable core::RankedMutex m_mutex{core::LockRank::Configuration};
+    std::shared_ptr<const changes::Standing> m_standing;
+    membership::Permission m_permission;
+    std::vector<membership::EntryHost> m_hosts;
+};
+
+/** The failure domains that are out in @p standing. */
+std::vector<core::FailureDomain> outDomains(const changes::Standing &standing);
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/http/connectionpool.cpp
@@ -0,0 +1,78 @@
+#include "http/connectionpool.h"
+
+#include <utility>
+
+namespace pimentoshed::http
+{
+
+namespace
+{
+
+constexpr std::size_t IdlePerAddress = 64;
+
+/** Whether nothing, not even the end, has come from the other side. */
+bool isQuiet(boost::asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code failure;
+    char byte = 0;
+    socket.non_blocking(true, failure);
+    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, failure);
+    return failure == boost::asio::error::would_block;
+}
+
+} // namespace
+
+ConnectionPool::ConnectionPool(boost::asio::io_context &context)
+    : m_context(context)
+{
+}
+
+std::unique_ptr<TargetConnection> ConnectionPool::take(const std::string &address)
+{
+    const core::Lock lock(m_mutex);
+    auto &idle = m_idle[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (isQuiet(connection->socket)) {
+            connection->reused = true;
+            return connection;
+        }
+    }
+    return std::make_unique<TargetConnection>(m_context);
+}
+
+void ConnectionPool::give(const std::string &address, std::unique_ptr<TargetConnection> connection, core::TimePoint now)
+{
+    connection->idleSince = now;
+    const core::Lock lock(m_mutex);
+    auto &idle = m_idle[address];
+    if (idle.size() < IdlePerAddress) {
+        idle.push_back(std::move(connection));
+    }
+}
+
+void ConnectionPool::closeIdle(core::TimePoint now, core::Duration limit)
+{
+    const core::Lock lock(m_mutex);
+    for (auto &[address, idle] : m_idle) {
+        std::erase_if(idle, [now, limit](const auto &connection) {
+            return now - connection->idleSince > limit;
+        });
+    }
+    std::erase_if(m_idle, [](const auto &entry) {
+        return entry.second.empty();
+    });
+}
+
+std::size_t ConnectionPool::idleCount() const
+{
+    const core::Lock lock(m_mutex);
+    std::size_t count = 0;
+    for (const auto &[address, idle] : m_idle) {
+        count += idle.size();
+    }
+    return count;
+}
+
+} // namespace pimentoshed::http
--- /dev/null
+++ b/src/http/connectionpool.h
@@ -0,0 +1,59 @@
+/**
+ * @file
+ * Connections to targets, kept open between requests.
+ */
+#pragma once
+
+#include "core/rankedmutex.h"
+#include "core/time.h"
+#include "http/exchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentoshed::http
+{
+
+/** A connection to a target. Used by one coroutine at a time. */
+struct TargetConnection {
+    explicit TargetConnection(boost::asio::io_context &context)
+        : socket(context)
+    {
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    /** Whether it has carried a request before. */
+    bool reused = false;
+    core::TimePoint idleSince{};
+};
+
+/** Idle connections by address. Thread-safe; rank Connections. */
+class ConnectionPool
+{
+public:
+    explicit ConnectionPool(boost::asio::io_context &context);
+
+    /** An idle connection to @p address that the target has not closed, or a new one that is not yet connected. */
+    std::unique_ptr<TargetConnection> take(const std::string &address);
+
+    /** Keeps @p connection for a later request. */
+    void give(const std::string &address, std::unique_ptr<TargetConnection> connection, core::TimePoint now);
+
+    /** Closes the connections that were idle for longer than @p limit. */
+    void closeIdle(core::TimePoint now, core::Duration limit);
+
+    std::size_t idleCount() const;
+
+private:
+    boost::asio::io_context &m_context;
+    mutable core::RankedMutex m_mutex{core::LockRank::Connections};
+    std::unordered_map<std::string, std::vector<std::unique_ptr<TargetConnection>>> m_idle;
+};
+
+} // namespace pimentoshed::http
--- /dev/null
+++ b/src/http/json.cpp
@@ -0,0 +1,29 @@
+#include "http/json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentoshed::http
+{
+
+Reply jsonReply(boost::beast::http::status status, const nlohmann::json &body)
+{
+    Reply reply;
+    reply.status = status;
+    // Bytes that are not UTF-8 came from outside and must not make the dump throw.
+    reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    return reply;
+}
+
+Reply errorReply(boost::beast::http::status status, const core::Error &error)
+{
+    return jsonReply(
+        status,
+        {{"code", static_cast<unsigned>(error.code)}, {"name", core::errorName(error.code)}, {"detail", error.detail}});
+}
+
+Reply notFound()
+{
+    return errorReply(boost::beast::http::status::not_found, {core::ErrorCode::RequestMalformed, "no such path"});
+}
+
+} // namespace pimentoshed::http
--- /dev/null
+++ b/src/membership/hub.h
@@ -0,0 +1,70 @@
+/**
+ * @file
+ * What a control host passes on between entry hosts: who they are, and the newest words of targets. Soft state: lost
+ * with the process and reported again by the entry hosts.
+ */
+#pragma once
+
+#include "core/rankedmutex.h"
+#include "core/time.h"
+#include "membership/hosts.h"
+#include "targets/target.h"
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentoshed::membership
+{
+
+/** What has changed since a position in the feed. */
+struct FeedNews {
+    std::uint64_t position = 0;
+    std::vector<targets::Target> targets;
+    bool hostsChanged = false;
+    std::vector<EntryHost> hosts;
+};
+
+/**
+ * A feed of changes, numbered in order. An older word of a host or a target never replaces a newer one. Thread-safe;
+ * rank Membership.
+ */
+class Hub
+{
+public:
+    /** Notes that @p host was heard from. Whether its record changed. */
+    bool hear(const EntryHost &host, core::TimePoint now);
+
+    /** Takes @p target's word. Whether it was new. */
+    bool learn(const targets::Target &target);
+
+    /** Forgets the hosts not heard from since @p before. Whether there were any. */
+    bool forgetSilent(core::TimePoint before);
+
+    /** What came after @p position; 0 asks for everything. */
+    FeedNews newsSince(std::uint64_t position) const;
+
+    std::uint64_t position() const;
+    std::vector<EntryHost> hosts() const;
+    std::size_t targetCount() const;
+
+private:
+    struct HostEntry {
+        EntryHost host;
+        core::TimePoint heard;
+    };
+    struct TargetEntry {
+        targets::Target target;
+        std::uint64_t position = 0;
+    };
+
+    mutable core::RankedMutex m_mutex{core::LockRank::Membership};
+    std::uint64_t m_position = 0;
+    std::uint64_t m_hostsPosition = 0;
+    std::map<core::HostId, HostEntry> m_hosts;
+    std::unordered_map<core::TargetId, TargetEntry> m_targets;
+    std::map<std::uint64_t, core::TargetId> m_order;
+};
+
+} // namespace pimentoshed::membership
--- /dev/null
+++ b/src/rpc/codec.cpp
@@ -0,0 +1,88 @@
+#include "rpc/codec.h"
+
+#include "configuration/parser.h"
+
+namespace pimentoshed::rpc
+{
+
+void encode(const membership::EntryHost &host, EntryHost &message)
+{
+    message.set_id(host.id.str());
+    message.set_domain(host.domain.str());
+    message.set_address(host.address);
+    message.set_incarnation(host.incarnation);
+    message.set_stopping(host.stopping);
+}
+
+membership::EntryHost decode(const EntryHost &message)
+{
+    membership::EntryHost host;
+    host.id = core::HostId(message.id());
+    host.domain = core::FailureDomain(message.domain());
+    host.address = message.address();
+    host.incarnation = message.incarnation();
+    host.stopping = message.stopping();
+    return host;
+}
+
+void encode(const targets::Target &target, Target &message)
+{
+    message.set_id(target.id.str());
+    message.set_service(target.service.str());
+    message.set_domain(target.domain.str());
+    message.set_address(target.address);
+    message.set_incarnation(target.word.incarnation);
+    message.set_sequence(target.word.sequence);
+    message.set_condition(static_cast<std::uint32_t>(target.condition));
+    message.set_origin(target.origin.str());
+}
+
+core::Result<targets::Target> decode(const Target &message)
+{
+    const auto condition = static_cast<targets::Condition>(message.condition());
+    if (core::nameOf(targets::ConditionNames, condition).empty()) {
+        return core::Error{core::ErrorCode::MessageMalformed, "unknown condition of target " + message.id()};
+    }
+    targets::Target target;
+    target.id = core::TargetId(message.id());
+    target.service = core::ServiceName(message.service());
+    target.domain = core::FailureDomain(message.domain());
+    target.address = message.address();
+    target.word = {message.incarnation(), message.sequence()};
+    target.condition = condition;
+    target.origin = core::HostId(message.origin());
+    return target;
+}
+
+void encode(const changes::Standing &standing, Standing &message)
+{
+    message.set_revision(standing.revision);
+    message.set_version(standing.version);
+    message.set_text(standing.text);
+    for (const auto &[name, domain] : standing.domains) {
+        auto *encoded = message.add_domains();
+        encoded->set_name(name.str());
+        encoded->set_out(domain.out);
+        encoded->set_changes(domain.changes);
+    }
+}
+
+core::Result<changes::Standing> decode(const Standing &message)
+{
+    auto parsed = configuration::parse(message.text());
+    auto *configuration = std::get_if<configuration::Configuration>(&parsed);
+    if (configuration == nullptr) {
+        return core::Error{core::ErrorCode::MessageMalformed, "the file of the standing does not parse"};
+    }
+    changes::Standing standing;
+    standing.revision = message.revision();
+    standing.version = message.version();
+    standing.text = message.text();
+    standing.configuration = std::make_shared<const configuration::Configuration>(std::move(*configuration));
+    for (const auto &domain : message.domains()) {
+        standing.domains[core::FailureDomain(domain.name())] = {domain.out(), domain.changes()};
+    }
+    return standing;
+}
+
+} // namespace pimentoshed::rpc
--- /dev/null
+++ b/src/rpc/codec.h
@@ -0,0 +1,27 @@
+/**
+ * @file
+ * Between the domain's types and the messages of proto/pimentoshed.proto.
+ */
+#pragma once
+
+#include "changes/ledger.h"
+#include "core/error.h"
+#include "membership/hosts.h"
+#include "pimentoshed.pb.h"
+#include "targets/target.h"
+
+namespace pimentoshed::rpc
+{
+
+void encode(const membership::EntryHost &host, EntryHost &message);
+membership::EntryHost decode(const EntryHost &message);
+
+void encode(const targets::Target &target, Target &message);
+/** Error: MessageMalformed where the condition is not known. */
+core::Result<targets::Target> decode(const Target &message);
+
+void encode(const changes::Standing &standing, Standing &message);
+/** Error: MessageMalformed where the file does not parse. */
+core::Result<changes::Standing> decode(const Standing &message);
+
+} // namespace pimentoshed::rpc
--- /dev/null
+++ b/src/rpc/controlclient.h
@@ -0,0 +1,38 @@
+/**
+ * @file
+ * An entry host's calls to one control host.
+ */
+#pragma once
+
+#include "core/error.h"
+#include "core/time.h"
+#include "pimentoshed.pb.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pimentoshed::rpc
+{
+
+template<typename Reply>
+using ReplyHook = std::function<void(core::Result<Reply>)>;
+
+/** Thread-safe. Hooks run on gRPC's threads; error: PeerUnreachable. */
+class ControlClient
+{
+public:
+    explicit ControlClient(const std::string &address);
+    ~ControlClient();
+    ControlClient(const ControlClient &) = delete;
+    ControlClient &operator=(const ControlClient &) = delete;
+
+    void follow(const FollowRequest &request, core::Duration timeout, ReplyHook<FollowReply> hook);
+    void report(const ReportRequest &request, core::Duration timeout, ReplyHook<ReportReply> hook);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace pimentoshed::rpc
--- /dev/null
+++ b/src/rpc/controlserver.h
@@ -0,0 +1,50 @@
+/**
+ * @file
+ * Takes the calls of other hosts to this control host and hands them to hooks.
+ */
+#pragma once
+
+#include "core/error.h"
+#include "pimentoshed.pb.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pimentoshed::rpc
+{
+
+/** Ends a call with its reply. Must be called once, from any thread. */
+template<typename Reply>
+using Respond = std::function<void(const Reply &)>;
+
+/** What a control host does with the calls it gets. Hooks run on gRPC's threads and must not block. */
+struct ControlHooks {
+    std::function<void(const FollowRequest &, Respond<FollowReply>)> follow;
+    std::function<void(const ReportRequest &, Respond<ReportReply>)> report;
+};
+
+/** Serves until it goes. */
+class ControlServer
+{
+public:
+    ~ControlServer();
+    ControlServer(const ControlServer &) = delete;
+    ControlServer &operator=(const ControlServer &) = delete;
+
+    /** Binds @p address and starts. Error: ListenFailed. */
+    static core::Result<std::unique_ptr<ControlServer>> start(const std::string &address, ControlHooks hooks);
+
+    /** The bound port. */
+    int port() const;
+
+    /** Refuses new calls and cancels those held. */
+    void stop();
+
+private:
+    class Impl;
+    explicit ControlServer(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace pimentoshed::rpc
--- /dev/null
+++ b/src/targets/target.h
@@ -0,0 +1,56 @@
+/**
+ * @file
+ * A target as it announces itself.
+ */
+#pragma once
+
+#include "core/enumtable.h"
+#include "core/ids.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace pimentoshed::targets
+{
+
+/** What a target says of itself. */
+enum class Condition : std::uint8_t {
+    Cold,
+    Warm,
+    Leaving,
+    Gone,
+};
+
+inline constexpr std::array ConditionNames{
+    core::EnumName<Condition>{Condition::Cold, "cold"},
+    core::EnumName<Condition>{Condition::Warm, "warm"},
+    core::EnumName<Condition>{Condition::Leaving, "leaving"},
+    core::EnumName<Condition>{Condition::Gone, "gone"},
+};
+
+/** Orders the words of one target: a restart raises the incarnation, every other change the sequence. */
+struct Word {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const Word &) const = default;
+};
+
+/** The newest known announcement of a target. */
+struct Target {
+    core::TargetId id;
+    core::ServiceName service;
+    core::FailureDomain domain;
+    /** IP:PORT. */
+    std::string address;
+    Word word;
+    Condition condition = Condition::Cold;
+    /** The entry host that keeps the target's lease. */
+    core::HostId origin;
+
+    bool operator==(const Target &) const = default;
+};
+
+} // namespace pimentoshed::targets
--- /dev/null
+++ b/src/targets/targettable.h
@@ -0,0 +1,61 @@
+/**
+ * @file
+ * The targets that a host knows of, and their leases.
+ */
+#pragma once
+
+#include "core/rankedmutex.h"
+#include "core/time.h"
+#include "targets/target.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentoshed::targets
+{
+
+/** What became of an announcement. */
+enum class Reception : std::uint8_t {
+    Changed,
+    Renewed,
+    Stale,
+};
+
+/**
+ * Keeps the newest word of each target. An older word never replaces a newer one. Thread-safe; rank Targets.
+ */
+class TargetTable
+{
+public:
+    /** Takes @p target's own announcement at this host, which keeps its lease until @p leaseEnd from now on. */
+    Reception announce(const Target &target, core::TimePoint leaseEnd);
+
+    /** Takes a record that another host passed on. */
+    Reception learn(const Target &target);
+
+    /** Marks as gone the targets whose leases this host keeps and that have ended. Returns them. */
+    std::vector<Target> expire(core::TimePoint now);
+
+    std::vector<Target> ofService(const core::ServiceName &service) const;
+    std::vector<Target> all() const;
+    std::optional<Target> find(const core::TargetId &id) const;
+    std::size_t size() const;
+
+private:
+    struct Entry {
+        Target target;
+        std::optional<core::TimePoint> leaseEnd;
+    };
+
+    Reception store(const Target &target, std::optional<core::TimePoint> leaseEnd);
+    void index(const Target &target);
+
+    mutable core::RankedMutex m_mutex{core::LockRank::Targets};
+    std::unordered_map<core::TargetId, Entry> m_entries;
+    std::map<core::ServiceName, std::vector<core::TargetId>> m_byService;
+};
+
+} // namespace pimentoshed::targets
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/processes/harness.cpp
@@ -0,0 +1,231 @@
+#include "processes/harness.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace pimentoshed::processes
+{
+
+namespace
+{
+
+const char *const Domains[] = {"ravne", "dravograd", "mezica"};
+
+std::vector<char *> argumentsOf(std::vector<std::string> &command)
+{
+    std::vector<char *> arguments;
+    for (auto &word : command) {
+        arguments.push_back(word.data());
+    }
+    arguments.push_back(nullptr);
+    return arguments;
+}
+
+std::string makeFolder()
+{
+    std::string name = std::filesystem::temp_directory_path() / "pimentoshed-XXXXXX";
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("no temporary folder");
+    }
+    return name;
+}
+
+} // namespace
+
+Process::Process(const std::vector<std::string> &command)
+{
+    auto words = command;
+    auto arguments = argumentsOf(words);
+    if (posix_spawn(&m_pid, arguments[0], nullptr, nullptr, arguments.data(), environ) != 0) {
+        throw std::runtime_error("can't start " + command.front());
+    }
+}
+
+Process::~Process()
+{
+    if (m_pid > 0) {
+        signal(SIGKILL);
+        wait();
+    }
+}
+
+Process::Process(Process &&other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1))
+{
+}
+
+Process &Process::operator=(Process &&other) noexcept
+{
+    std::swap(m_pid, other.m_pid);
+    return *this;
+}
+
+void Process::signal(int number) const
+{
+    kill(m_pid, number);
+}
+
+int Process::wait()
+{
+    int status = 0;
+    waitpid(std::exchange(m_pid, -1), &status, 0);
+    constexpr int SignalBase = 128;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : SignalBase + WTERMSIG(status);
+}
+
+pid_t Process::pid() const
+{
+    return m_pid;
+}
+
+Fleet::Fleet(unsigned net, unsigned entryHosts)
+    : m_net(net)
+    , m_folder(makeFolder())
+{
+    m_control.emplace_back(std::vector<std::string>{PIMENTOSHED_BINARY,
+                                                    "control",
+                                                    "--id=c1",
+                                                    "--operator-listen=" + operatorAddress(),
+                                                    fmt::format("--rpc-listen=127.{}.3.1:7002", m_net),
+                                                    "--data-folder=" + m_folder + "/c1"});
+    for (unsigned i = 0; i < entryHosts; ++i) {
+        m_entries.emplace_back(std::vector<std::string>{PIMENTOSHED_BINARY,
+                                                        "entry",
+                                                        fmt::format("--id=e{}", i),
+                                                        fmt::format("--failure-domain={}", Domains[i % 3]),
+                                                        "--listen=" + callerAddress(i),
+                                                        "--platform-listen=" + platformAddress(i),
+                                                        fmt::format("--control=127.{}.3.1:7002", m_net)});
+    }
+    if (!eventually(
+            [this]() {
+                return core::ok(ask(operatorAddress(), "/pimentoshed/v1/state"));
+            },
+            std::chrono::seconds(10))) {
+        throw std::runtime_error("the control host does not start");
+    }
+}
+
+Fleet::~Fleet()
+{
+    m_targets.clear();
+    m_entries.clear();
+    m_control.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+void Fleet::addTargets(const std::string &service, unsigned count, const std::vector<std::string> &flags)
+{
+    std::string entries;
+    for (unsigned i = 0; i < m_entries.size(); ++i) {
+        entries += (entries.empty() ? "" : ",") + platformAddress(i);
+    }
+    for (unsigned i = 0; i < count; ++i) {
+        std::vector<std::string> command{PIMENTOSHED_TARGET_STANDIN,
+                                         fmt::format("--id={}-{}", service, i),
+                                         "--service=" + service,
+                                         fmt::format("--failure-domain={}", Domains[i % 3]),
+                                         fmt::format("--listen=127.{}.2.{}:9000", m_net, m_targets.size() + 1),
+                                         "--entries=" + entries};
+        command.insert(command.end(), flags.begin(), flags.end());
+        m_targets.emplace_back(command);
+    }
+}
+
+int Fleet::run(const std::vector<std::string> &arguments) const
+{
+    std::vector<std::string> command{PIMENTOSHED_BINARY};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    return Process(command).wait();
+}
+
+bool Fleet::settles(unsigned targets) const
+{
+    const auto settled = [this, targets](unsigned entry) {
+        const auto answer = ask(platformAddress(entry), "/pimentoshed/v1/state");
+        if (!core::ok(answer)) {
+            return false;
+        }
+        const auto &body = core::value(answer).body;
+        unsigned known = 0;
+        for (auto at = body.find("\"condition\":\"warm\""); at != std::string::npos;
+             at = body.find("\"condition\":\"warm\"", at + 1)) {
+            ++known;
+        }
+        return known == targets && body.find("\"current\":true") != std::string::npos;
+    };
+    for (unsigned i = 0; i < m_entries.size(); ++i) {
+        if (!eventually(
+                [&settled, i]() {
+                    return settled(i);
+                },
+                std::chrono::seconds(10))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string Fleet::operatorAddress() const
+{
+    return fmt::format("127.{}.3.1:7001", m_net);
+}
+
+std::string Fleet::callerAddress(unsigned entry) const
+{
+    return fmt::format("127.{}.1.{}:8080", m_net, entry + 1);
+}
+
+std::string Fleet::platformAddress(unsigned entry) const
+{
+    return fmt::format("127.{}.1.{}:8081", m_net, entry + 1);
+}
+
+Process &Fleet::entry(unsigned number)
+{
+    return m_entries.at(number);
+}
+
+Process &Fleet::control()
+{
+    return m_control.front();
+}
+
+Process &Fleet::target(unsigned number)
+{
+    return m_targets.at(number);
+}
+
+bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+{
+    constexpr auto Pause = std::chrono::milliseconds(20);
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(Pause);
+    }
+    return true;
+}
+
+core::Result<http::ClientAnswer> ask(const std::string &address,
+                                     const std::string &target,
+                                     const std::string &method,
+                                     const std::string &body,
+                                     const std::vector<http::Header> &headers)
+{
+    return http::fetch(address, {method, target, headers, body}, std::chrono::seconds(5));
+}
+
+} // namespace pimentoshed::processes
