--- a/tests/processes/harness.cpp
+++ b/tests/processes/harness.cpp
@@ -23,6 +23,7 @@
 std::vector<char *> argumentsOf(std::vector<std::string> &command)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (auto &word : command) {
         arguments.push_back(word.data());
     }
