--- /dev/null
+++ b/src/journal/journal.cpp
@@ -0,0 +1,217 @@
+#include "journal/journal.h"
+
+#include "journal/frame.h"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace pimentoshed::journal
+{
+
+namespace
+{
+
+constexpr const char *JournalName = "journal";
+constexpr const char *IdentityName = "identity";
+
+std::uint64_t makeDiskId()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string encode(const Identity &identity)
+{
+    return fmt::format("{} {}\n", identity.disk, identity.host);
+}
+
+std::optional<Identity> decode(std::string_view text)
+{
+    Identity identity;
+    const auto space = text.find(' ');
+    if (space == std::string_view::npos || !text.ends_with('\n')) {
+        return std::nullopt;
+    }
+    const auto [end, code] = std::from_chars(text.data(), text.data() + space, identity.disk);
+    if (code != std::errc() || end != text.data() + space) {
+        return std::nullopt;
+    }
+    identity.host = text.substr(space + 1, text.size() - space - 2);
+    return identity;
+}
+
+core::Result<Identity> takeIdentity(const std::filesystem::path &folder,
+                                    const std::string &host,
+                                    const FileHooks &hooks)
+{
+    const auto path = folder / IdentityName;
+    if (!std::filesystem::exists(path)) {
+        if (std::filesystem::exists(folder / JournalName)) {
+            return core::Error{core::ErrorCode::JournalDamaged, "a journal without an identity"};
+        }
+        Identity identity{host, makeDiskId()};
+        const auto written = replaceFile(path, encode(identity), hooks);
+        if (!core::ok(written)) {
+            return core::error(written);
+        }
+        return identity;
+    }
+    const auto text = readWhole(path);
+    if (!core::ok(text)) {
+        return core::error(text);
+    }
+    auto identity = decode(core::value(text));
+    if (!identity) {
+        return core::Error{core::ErrorCode::JournalDamaged, "the identity is unreadable"};
+    }
+    if (identity->host != host) {
+        return core::Error{core::ErrorCode::DataFolderForeign, "it belongs to " + identity->host};
+    }
+    return *identity;
+}
+
+core::Status makeFolder(const std::filesystem::path &folder, const FileHooks &hooks)
+{
+    std::error_code failure;
+    std::filesystem::create_directories(folder, failure);
+    if (failure) {
+        return core::Error{core::ErrorCode::JournalWriteFailed, failure.message()};
+    }
+    const auto parent = std::filesystem::absolute(folder).parent_path();
+    return syncFolder(parent, hooks);
+}
+
+/** The journal's bytes; none where there is no journal yet. */
+core::Result<std::string> readJournal(const std::filesystem::path &path)
+{
+    if (!std::filesystem::exists(path)) {
+        return std::string();
+    }
+    return readWhole(path);
+}
+
+core::Status cut(const std::filesystem::path &path, std::size_t size)
+{
+    std::error_code failure;
+    std::filesystem::resize_file(path, size, failure);
+    if (failure) {
+        return core::Error{core::ErrorCode::JournalWriteFailed, "cut: " + failure.message()};
+    }
+    return std::monostate{};
+}
+
+} // namespace
+
+core::Result<Journal::Opened> Journal::open(const std::filesystem::path &folder,
+                                            const std::string &host,
+                                            FileHooks hooks)
+{
+    const auto made = makeFolder(folder, hooks);
+    if (!core::ok(made)) {
+        return core::error(made);
+    }
+    auto identity = takeIdentity(folder, host, hooks);
+    if (!core::ok(identity)) {
+        return core::error(identity);
+    }
+    const auto bytes = readJournal(folder / JournalName);
+    if (!core::ok(bytes)) {
+        return core::error(bytes);
+    }
+    auto frames = readFrames(core::value(bytes));
+    if (!core::ok(frames)) {
+        return core::error(frames);
+    }
+    auto &read = core::value(frames);
+    Opened opened{Journal(folder, std::move(core::value(identity)), std::move(hooks)), std::move(read.records), 0};
+    opened.cutBytes = core::value(bytes).size() - read.wholeBytes;
+    if (opened.cutBytes > 0) {
+        const auto done = cut(folder / JournalName, read.wholeBytes);
+        if (!core::ok(done)) {
+            return core::error(done);
+        }
+    }
+    opened.journal.m_bytes = read.wholeBytes;
+    const auto ready = opened.journal.openFile();
+    if (!core::ok(ready)) {
+        return core::error(ready);
+    }
+    return opened;
+}
+
+Journal::Journal(std::filesystem::path folder, Identity identity, FileHooks hooks)
+    : m_folder(std::move(folder))
+    , m_identity(std::move(identity))
+    , m_hooks(std::move(hooks))
+{
+}
+
+core::Status Journal::openFile()
+{
+    auto file = openForAppend(m_folder / JournalName);
+    if (!core::ok(file)) {
+        return core::error(file);
+    }
+    m_file = std::move(core::value(file));
+    const auto synced = syncContent(m_file, m_hooks);
+    return core::ok(synced) ? syncFolder(m_folder, m_hooks) : synced;
+}
+
+core::Status Journal::append(std::string_view record)
+{
+    if (m_failed) {
+        return core::Error{core::ErrorCode::JournalWriteFailed, "an earlier write failed"};
+    }
+    const auto framed = frame(record);
+    auto step = writeWhole(m_file, framed, m_hooks);
+    if (core::ok(step)) {
+        step = syncContent(m_file, m_hooks);
+    }
+    if (!core::ok(step)) {
+        return fail(std::move(step));
+    }
+    m_bytes += framed.size();
+    return step;
+}
+
+core::Status Journal::rewrite(const std::vector<std::string> &records)
+{
+    if (m_failed) {
+        return core::Error{core::ErrorCode::JournalWriteFailed, "an earlier write failed"};
+    }
+    std::string bytes;
+    for (const auto &record : records) {
+        bytes += frame(record);
+    }
+    auto step = replaceFile(m_folder / JournalName, bytes, m_hooks);
+    if (core::ok(step)) {
+        step = openFile();
+    }
+    if (!core::ok(step)) {
+        return fail(std::move(step));
+    }
+    m_bytes = bytes.size();
+    return step;
+}
+
+const Identity &Journal::identity() const
+{
+    return m_identity;
+}
+
+std::size_t Journal::bytes() const
+{
+    return m_bytes;
+}
+
+core::Status Journal::fail(core::Status failure)
+{
+    // What a failed sync left behind is unknown, so that a later success would prove nothing.
+    m_failed = true;
+    return failure;
+}
+
+} // namespace pimentoshed::journal
