--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -14,6 +14,7 @@
     CLI::App app("pimentoshed: a load balancer for servers whose load shifts in milliseconds");
     app.require_subcommand(1);
     auto exitCode = ExitCode::Success;
+    addInit(app, exitCode);
     addControl(app, exitCode);
     addEntry(app, exitCode);
     addOperatorCommands(app, exitCode);
--- a/src/cli/roles.cpp
+++ b/src/cli/roles.cpp
@@ -1,6 +1,7 @@
 #include "cli/roles.h"
 
 #include "control/controlhost.h"
+#include "control/replicator.h"
 #include "core/log.h"
 #include "entry/entryhost.h"
 
@@ -74,6 +75,58 @@
     return left == 0 ? ExitCode::Success : ExitCode::StoppedWithWork;
 }
 
+/** "c1=127.0.0.1:7002" as a host and its address. Error: SettingInvalid. */
+core::Result<control::PeerAddresses> parsePeers(const std::vector<std::string> &words)
+{
+    control::PeerAddresses peers;
+    for (const auto &word : words) {
+        const auto equals = word.find('=');
+        if (equals == std::string::npos || equals == 0 || equals + 1 == word.size()) {
+            return core::Error{core::ErrorCode::SettingInvalid, "--peers: '" + word + "' is not NAME=IP:PORT"};
+        }
+        peers[core::HostId(word.substr(0, equals))] = word.substr(equals + 1);
+    }
+    return peers;
+}
+
+struct ControlFlags {
+    std::string id;
+    std::vector<std::string> peers;
+    control::ControlSettings settings;
+};
+
+ExitCode runControlFlags(ControlFlags &flags)
+{
+    flags.settings.id = core::HostId(flags.id);
+    auto peers = parsePeers(flags.peers);
+    if (!core::ok(peers)) {
+        fmt::print(stderr, "{}\n", core::describe(core::error(peers)));
+        return ExitCode::Usage;
+    }
+    flags.settings.peers = std::move(core::value(peers));
+    return runControl(flags.settings);
+}
+
+struct InitFlags {
+    std::string id;
+    std::string dataFolder;
+    std::vector<std::string> members;
+};
+
+ExitCode runInit(const InitFlags &flags)
+{
+    std::vector<core::HostId> hosts;
+    for (const auto &member : flags.members) {
+        hosts.emplace_back(member);
+    }
+    const auto made = control::Replicator::create(flags.dataFolder, core::HostId(flags.id), hosts);
+    if (!core::ok(made)) {
+        fmt::print(stderr, "{}\n", core::describe(core::error(made)));
+        return ExitCode::Refused;
+    }
+    return ExitCode::Success;
+}
+
 /** Values as CLI11 reads them, before they become settings. */
 struct EntryFlags {
     std::string id;
@@ -85,12 +138,29 @@
 
 } // namespace
 
+void addInit(CLI::App &app, ExitCode &exitCode)
+{
+    auto *command = app.add_subcommand("init", "Makes the data folder of a control host of a new system, once");
+    const auto flags = std::make_shared<InitFlags>();
+    command->add_option("--id", flags->id, "This host's name")->envname("PIMENTOSHED_ID")->required();
+    command->add_option("--data-folder", flags->dataFolder, "Folder for this host's durable state")
+        ->envname("PIMENTOSHED_DATA_FOLDER")
+        ->required();
+    command->add_option("--members", flags->members, "Names of the system's first control hosts, comma-separated")
+        ->envname("PIMENTOSHED_MEMBERS")
+        ->delimiter(',')
+        ->required();
+    command->callback([flags, &exitCode]() {
+        exitCode = runInit(*flags);
+    });
+}
+
 void addControl(CLI::App &app, ExitCode &exitCode)
 {
     auto *command = app.add_subcommand("control", "Runs a control host until SIGTERM");
-    const auto settings = std::make_shared<control::ControlSettings>();
-    const auto id = std::make_shared<std::string>();
-    command->add_option("--id", *id, "This host's name")->envname("PIMENTOSHED_ID")->required();
+    const auto flags = std::make_shared<ControlFlags>();
+    auto *settings = &flags->settings;
+    command->add_option("--id", flags->id, "This host's name")->envname("PIMENTOSHED_ID")->required();
     command->add_option("--operator-listen", settings->operatorListen, "IP:PORT for operators")
         ->envname("PIMENTOSHED_OPERATOR_LISTEN")
         ->required();
@@ -104,9 +174,11 @@
         ->envname("PIMENTOSHED_WORKERS")
         ->check(CLI::Range(1, 64))
         ->capture_default_str();
-    command->callback([settings, id, &exitCode]() {
-        settings->id = core::HostId(*id);
-        exitCode = runControl(*settings);
+    command->add_option("--peers", flags->peers, "Every control host as NAME=IP:PORT, comma-separated")
+        ->envname("PIMENTOSHED_PEERS")
+        ->delimiter(',');
+    command->callback([flags, &exitCode]() {
+        exitCode = runControlFlags(*flags);
     });
 }
 
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -1,13 +1,20 @@
 #include "control/controlhost.h"
 
 #include "control/followdesk.h"
+#include "control/leaderdesk.h"
 #include "control/operatorfront.h"
+#include "control/peerfeed.h"
+#include "control/replicatedstate.h"
+#include "control/replicator.h"
 #include "core/log.h"
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "http/server.h"
 #include "rpc/codec.h"
+#include "rpc/commandcodec.h"
+#include "rpc/replicationcodec.h"
 
+#include <atomic>
 #include <chrono>
 #include <random>
 
@@ -20,7 +27,7 @@
 constexpr auto ServePeriod = std::chrono::milliseconds(50);
 constexpr auto SilentPeriod = std::chrono::seconds(3);
 
-std::uint64_t makeFeedId()
+std::uint64_t makeSeed()
 {
     std::random_device device;
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -33,44 +40,31 @@
 public:
     explicit Impl(const ControlSettings &settings)
         : m_settings(settings)
+        , m_peers(settings.peers)
         , m_pool(settings.workers)
         , m_timers(m_pool.context())
         , m_desk({[this]() {
-                      return standing();
+                      return m_state.standing();
                   },
                   m_hub,
-                  makeFeedId()})
+                  makeSeed()})
     {
     }
 
     core::Status start()
     {
-        OperatorHooks hooks;
-        hooks.change = [this](const changes::Change &change) {
-            return apply(change);
-        };
-        hooks.standing = [this]() {
-            return standing();
-        };
-        hooks.hosts = [this]() {
-            return m_hub.hosts();
-        };
-        hooks.targetCount = [this]() {
-            return m_hub.targetCount();
-        };
-        auto http = http::Server::Builder(m_pool.context())
-                        .address(m_settings.operatorListen)
-                        .handler(operatorHandler(m_settings.id, std::move(hooks)))
-                        .start();
-        if (!core::ok(http)) {
-            return core::error(http);
+        auto replicator =
+            Replicator::open(m_settings.dataFolder, m_settings.id, replicatorHooks(), core::seededRandom(makeSeed()));
+        if (!core::ok(replicator)) {
+            return core::error(replicator);
         }
-        m_http = core::value(http);
-        auto server = rpc::ControlServer::start(m_settings.rpcListen, rpcHooks());
-        if (!core::ok(server)) {
-            return core::error(server);
+        m_replicator = std::move(core::value(replicator));
+        m_leaderDesk = std::make_unique<LeaderDesk>(*m_replicator, m_peers, core::steadyNow);
+        auto listening = listen();
+        if (!core::ok(listening)) {
+            return listening;
         }
-        m_rpc = std::move(core::value(server));
+        startFeeds();
         m_serveTimer = m_timers.every(ServePeriod, [this]() {
             serve();
         });
@@ -80,7 +74,11 @@
 
     void stop()
     {
+        m_stopped = true;
         m_serveTimer.cancel();
+        for (const auto &feed : m_feeds) {
+            feed->stop();
+        }
         m_desk.close();
         if (m_rpc) {
             m_rpc->stop();
@@ -88,24 +86,182 @@
         if (m_http) {
             m_http->drain();
         }
+        if (m_replicator) {
+            m_replicator->stop();
+        }
         m_pool.stop();
     }
 
 private:
+    ReplicatorHooks replicatorHooks()
+    {
+        ReplicatorHooks hooks;
+        hooks.apply = [this](const std::string &payload) {
+            return m_state.apply(payload);
+        };
+        hooks.send = [this](const consensus::Message &message) {
+            m_peers.send(message);
+        };
+        hooks.applied = [this]() {
+            m_pool.post([this]() {
+                serve();
+            });
+        };
+        hooks.now = core::steadyNow;
+        return hooks;
+    }
+
+    core::Status listen()
+    {
+        auto server = rpc::ControlServer::start(m_settings.rpcListen, rpcHooks());
+        if (!core::ok(server)) {
+            return core::error(server);
+        }
+        m_rpc = std::move(core::value(server));
+        auto http = http::Server::Builder(m_pool.context())
+                        .address(m_settings.operatorListen)
+                        .handler(operatorHandler(m_settings.id, operatorHooks()))
+                        .start();
+        if (!core::ok(http)) {
+            return core::error(http);
+        }
+        m_http = core::value(http);
+        return std::monostate{};
+    }
+
+    void startFeeds()
+    {
+        for (const auto &[host, address] : m_settings.peers) {
+            if (host == m_settings.id) {
+                continue;
+            }
+            m_feeds.push_back(std::make_shared<PeerFeed>(PeerFeed::Parts{m_pool,
+                                                                         m_timers,
+                                                                         m_hub,
+                                                                         [this]() {
+                                                                             m_desk.serve(m_timers.now());
+                                                                         }},
+                                                         host,
+                                                         address));
+            m_feeds.back()->start();
+        }
+    }
+
+    OperatorHooks operatorHooks()
+    {
+        OperatorHooks hooks;
+        hooks.change = [this](const changes::Change &change, std::function<void(changes::Answer)> done) {
+            m_leaderDesk->submit(rpc::encodeCommand(change),
+                                 [done = std::move(done)](const core::Result<std::string> &answer) {
+                                     done(core::ok(answer) ? rpc::decodeAnswer(core::value(answer))
+                                                           : changes::Answer(core::error(answer)));
+                                 });
+        };
+        hooks.standing = [this]() {
+            return m_state.standing();
+        };
+        hooks.log = [this]() {
+            return m_replicator->inspect();
+        };
+        hooks.hosts = [this]() {
+            return m_hub.hosts();
+        };
+        hooks.targetCount = [this]() {
+            return m_hub.targetCount();
+        };
+        return hooks;
+    }
+
     rpc::ControlHooks rpcHooks()
     {
         rpc::ControlHooks hooks;
         hooks.follow = [this](const rpc::FollowRequest &request, const rpc::Respond<rpc::FollowReply> &respond) {
-            m_hub.hear(rpc::decode(request.host()), m_timers.now());
+            if (!request.peer()) {
+                m_hub.hear(rpc::decode(request.host()), m_timers.now());
+            }
             m_desk.take(request, respond, m_timers.now());
+            confirm();
         };
         hooks.report = [this](const rpc::ReportRequest &request, const rpc::Respond<rpc::ReportReply> &respond) {
             learn(request);
             respond({});
         };
+        hooks.deliver = [this](const rpc::Envelope &envelope) {
+            deliver(envelope);
+        };
+        hooks.identify = [this]() {
+            rpc::MemberId member;
+            rpc::encode(m_replicator->self(), member);
+            return member;
+        };
+        hooks.confirm = [this](const rpc::Respond<rpc::ConfirmReply> &respond) {
+            confirmFor(respond);
+        };
+        hooks.submit = [this](const rpc::SubmitRequest &request, const rpc::Respond<rpc::SubmitReply> &respond) {
+            submitFor(request, respond);
+        };
         return hooks;
     }
 
+    void deliver(const rpc::Envelope &envelope)
+    {
+        const auto message = rpc::decode(envelope);
+        if (core::ok(message)) {
+            m_replicator->receive(core::value(message));
+        } else {
+            core::log(core::LogLevel::Warning, "envelope-malformed", {{"error", describe(core::error(message))}});
+        }
+    }
+
+    void confirmFor(const rpc::Respond<rpc::ConfirmReply> &respond)
+    {
+        m_replicator->confirm([respond](const core::Result<consensus::LogIndex> &index) {
+            rpc::ConfirmReply reply;
+            if (core::ok(index)) {
+                reply.set_index(core::value(index).value());
+            } else {
+                reply.set_error(static_cast<std::uint32_t>(core::error(index).code));
+                reply.set_detail(core::error(index).detail);
+            }
+            respond(reply);
+        });
+    }
+
+    void submitFor(const rpc::SubmitRequest &request, const rpc::Respond<rpc::SubmitReply> &respond)
+    {
+        m_replicator->submit(request.payload(), [respond](const core::Result<std::string> &answer) {
+            rpc::SubmitReply reply;
+            if (core::ok(answer)) {
+                reply.set_answer(core::value(answer));
+            } else {
+                reply.set_error(static_cast<std::uint32_t>(core::error(answer).code));
+                reply.set_detail(core::error(answer).detail);
+            }
+            respond(reply);
+        });
+    }
+
+    /** Confirms the calls that have come in; one round at a time, so that a round serves all of them. */
+    void confirm()
+    {
+        if (m_confirming.exchange(true)) {
+            m_confirmAgain = true;
+            return;
+        }
+        m_confirmAgain = false;
+        m_leaderDesk->confirm([this, asks = m_desk.asks()](bool current) {
+            if (current) {
+                m_desk.confirm(asks);
+            }
+            m_confirming = false;
+            if (m_confirmAgain && current && !m_stopped) {
+                m_pool.post([this]() {
+                    confirm();
+                });
+            }
+        });
+    }
+
     void learn(const rpc::ReportRequest &request)
     {
         for (const auto &message : request.changes()) {
@@ -123,36 +279,25 @@
 
     void serve()
     {
+        m_replicator->tick();
+        m_leaderDesk->serve();
         m_hub.forgetSilent(m_timers.now() - SilentPeriod);
         m_desk.serve(m_timers.now());
     }
 
-    changes::Answer apply(const changes::Change &change)
-    {
-        changes::Answer answer;
-        {
-            const core::Lock lock(m_mutex);
-            answer = m_ledger.apply(change);
-        }
-        m_pool.post([this]() {
-            m_desk.serve(m_timers.now());
-        });
-        return answer;
-    }
-
-    changes::Standing standing()
-    {
-        const core::Lock lock(m_mutex);
-        return m_ledger.standing();
-    }
-
     const ControlSettings m_settings;
-    core::RankedMutex m_mutex{core::LockRank::Replica};
-    changes::Ledger m_ledger;
+    ReplicatedState m_state;
     membership::Hub m_hub;
+    Peers m_peers;
+    std::atomic<bool> m_stopped{false};
+    std::atomic<bool> m_confirming{false};
+    std::atomic<bool> m_confirmAgain{false};
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     FollowDesk m_desk;
+    std::unique_ptr<Replicator> m_replicator;
+    std::unique_ptr<LeaderDesk> m_leaderDesk;
+    std::vector<std::shared_ptr<PeerFeed>> m_feeds;
     std::shared_ptr<http::Server> m_http;
     std::unique_ptr<rpc::ControlServer> m_rpc;
     core::TimerSubscription m_serveTimer;
--- a/src/control/controlhost.h
+++ b/src/control/controlhost.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "control/peers.h"
 #include "core/error.h"
 #include "core/ids.h"
 
@@ -20,6 +21,8 @@
     std::string operatorListen;
     std::string rpcListen;
     std::string dataFolder;
+    /** Where every control host takes the calls of other hosts, this one included. */
+    PeerAddresses peers;
     std::size_t workers = 2;
 };
 
@@ -31,7 +34,7 @@
     ControlHost(const ControlHost &) = delete;
     ControlHost &operator=(const ControlHost &) = delete;
 
-    /** Binds and starts. Errors: SettingInvalid, ListenFailed. */
+    /** Binds and starts. Errors: SettingInvalid, ListenFailed, those of Replicator::open. */
     static core::Result<std::unique_ptr<ControlHost>> start(const ControlSettings &settings);
 
     /** Stops gracefully; returns when nothing is in progress. */
--- a/src/control/followdesk.cpp
+++ b/src/control/followdesk.cpp
@@ -8,6 +8,19 @@
 namespace pimentoshed::control
 {
 
+namespace
+{
+
+membership::Audience audienceOf(const rpc::FollowRequest &request)
+{
+    return request.peer() ? membership::Audience::Peers : membership::Audience::EntryHosts;
+}
+
+/** Asks kept for hosts that no longer call. */
+constexpr std::size_t AsksKept = 4096;
+
+} // namespace
+
 FollowDesk::FollowDesk(Sources sources)
     : m_sources(std::move(sources))
 {
@@ -17,6 +30,7 @@
                       const rpc::Respond<rpc::FollowReply> &respond,
                       core::TimePoint now)
 {
+    noteAsk(request);
     if (hasNews(request) || !hold({request, respond, now + std::chrono::milliseconds(request.hold_ms())})) {
         respond(answer(request));
     }
@@ -41,6 +55,44 @@
     serve(core::TimePoint::max());
 }
 
+void FollowDesk::confirm(const Asks &asks)
+{
+    const core::Lock lock(m_mutex);
+    m_confirmed = asks;
+}
+
+FollowDesk::Asks FollowDesk::asks() const
+{
+    const core::Lock lock(m_mutex);
+    return m_asks;
+}
+
+std::size_t FollowDesk::held() const
+{
+    const core::Lock lock(m_mutex);
+    return m_held.size();
+}
+
+void FollowDesk::noteAsk(const rpc::FollowRequest &request)
+{
+    if (request.peer()) {
+        return;
+    }
+    const core::Lock lock(m_mutex);
+    if (m_asks.size() >= AsksKept) {
+        // The hosts that still call are noted again by their next calls.
+        m_asks.clear();
+    }
+    m_asks[{request.host().id(), request.host().incarnation()}] = request.ask();
+}
+
+std::uint64_t FollowDesk::confirmedAsk(const rpc::FollowRequest &request) const
+{
+    const core::Lock lock(m_mutex);
+    const auto found = m_confirmed.find({request.host().id(), request.host().incarnation()});
+    return found == m_confirmed.end() ? 0 : found->second;
+}
+
 void FollowDesk::serve(core::TimePoint now)
 {
     std::vector<Held> due;
@@ -64,19 +116,20 @@
 
 bool FollowDesk::hasNews(const rpc::FollowRequest &request) const
 {
-    return m_sources.standing().revision > request.revision() || m_sources.hub.position() > positionOf(request);
+    return m_sources.standing()->revision > request.revision() || m_sources.hub.position() > positionOf(request);
 }
 
 rpc::FollowReply FollowDesk::answer(const rpc::FollowRequest &request) const
 {
     rpc::FollowReply reply;
+    // Read before the standing, which so covers at least what was confirmed.
+    reply.set_confirmed_ask(confirmedAsk(request));
     const auto standing = m_sources.standing();
-    reply.set_current(true);
-    reply.set_revision(standing.revision);
-    if (standing.revision > request.revision()) {
-        rpc::encode(standing, *reply.mutable_standing());
+    reply.set_revision(standing->revision);
+    if (standing->revision > request.revision()) {
+        rpc::encode(*standing, *reply.mutable_standing());
     }
-    const auto news = m_sources.hub.newsSince(positionOf(request));
+    const auto news = m_sources.hub.newsSince(positionOf(request), audienceOf(request));
     reply.set_feed_id(m_sources.feedId);
     reply.set_feed_position(news.position);
     for (const auto &target : news.targets) {
--- a/src/control/followdesk.h
+++ b/src/control/followdesk.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Holds the entry hosts' follow calls until there is something new for them.
+ * Holds the follow calls of entry hosts and of other control hosts until there is something new for them.
  */
 #pragma once
 
@@ -11,6 +11,10 @@
 #include "rpc/controlserver.h"
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace pimentoshed::control
@@ -22,7 +26,7 @@
 public:
     /** Where the desk reads what is new. */
     struct Sources {
-        std::function<changes::Standing()> standing;
+        std::function<std::shared_ptr<const changes::Standing>()> standing;
         const membership::Hub &hub;
         std::uint64_t feedId = 0;
     };
@@ -31,12 +35,21 @@
 
     void take(const rpc::FollowRequest &request, const rpc::Respond<rpc::FollowReply> &respond, core::TimePoint now);
 
+    /** Notes that the standing was confirmed as current after the arrival of the calls that @p asks names. */
+    using Asks = std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>;
+    void confirm(const Asks &asks);
+
+    /** The latest call of each entry host, by its id and incarnation. */
+    Asks asks() const;
+
     /** Answers the calls that something new concerns, and those whose hold ended by @p now. */
     void serve(core::TimePoint now);
 
     /** Answers every call held, and from now on each at once. */
     void close();
 
+    std::size_t held() const;
+
 private:
     struct Held {
         rpc::FollowRequest request;
@@ -46,13 +59,17 @@
 
     /** Keeps the call unless the desk is closed. Whether it was kept. */
     bool hold(const Held &held);
+    void noteAsk(const rpc::FollowRequest &request);
     bool hasNews(const rpc::FollowRequest &request) const;
     rpc::FollowReply answer(const rpc::FollowRequest &request) const;
+    std::uint64_t confirmedAsk(const rpc::FollowRequest &request) const;
     std::uint64_t positionOf(const rpc::FollowRequest &request) const;
 
     const Sources m_sources;
-    core::RankedMutex m_mutex{core::LockRank::Connections};
+    mutable core::RankedMutex m_mutex{core::LockRank::Connections};
     std::vector<Held> m_held;
+    Asks m_asks;
+    Asks m_confirmed;
     bool m_closed = false;
 };
 
--- a/src/control/operatorfront.cpp
+++ b/src/control/operatorfront.cpp
@@ -1,5 +1,6 @@
 #include "control/operatorfront.h"
 
+#include "http/await.h"
 #include "http/json.h"
 
 #include <charconv>
@@ -21,7 +22,11 @@
 http::Reply answerReply(const changes::Answer &answer)
 {
     if (!core::ok(answer)) {
-        return http::errorReply(status::conflict, core::error(answer));
+        const auto code = core::error(answer).code;
+        const bool unavailable = code == core::ErrorCode::NoQuorum || code == core::ErrorCode::NotLeader
+                                 || code == core::ErrorCode::ChangeNotCommitted
+                                 || code == core::ErrorCode::JournalWriteFailed;
+        return http::errorReply(unavailable ? status::service_unavailable : status::conflict, core::error(answer));
     }
     const auto &accepted = core::value(answer);
     return http::jsonReply(status::ok, {{"revision", accepted.revision}, {"version", accepted.version}});
@@ -48,6 +53,24 @@
     return list;
 }
 
+json describeLog(const consensus::Inspection &log)
+{
+    json voters = json::array();
+    for (const auto &voter : log.members.voters) {
+        voters.push_back({{"host", voter.host.str()}, {"disk", voter.disk.str()}});
+    }
+    return {{"role", core::nameOf(consensus::RoleNames, log.role)},
+            {"term", log.term.value()},
+            {"leader", log.leader ? log.leader->host.str() : ""},
+            {"disk", log.self.disk.str()},
+            {"commit", log.commit.value()},
+            {"last", log.last.value()},
+            {"durable", log.durable.value()},
+            {"snapshot", log.snapshot.value()},
+            {"voters", voters},
+            {"members_settled", log.members.settled()}};
+}
+
 /** Serves one control host's operators. */
 class Front
 {
@@ -83,7 +106,7 @@
         if (id.empty()) {
             return http::errorReply(status::bad_request, {core::ErrorCode::RequestMalformed, "no Change-Id"});
         }
-        return answerReply(m_hooks.change(changes::ApplyFile{id, std::move(core::value(body))}));
+        return decide(exchange, changes::ApplyFile{id, std::move(core::value(body))});
     }
 
     http::Reply moveDomain(http::Exchange &exchange, std::string_view rest) const
@@ -99,7 +122,16 @@
         change.domain = core::FailureDomain(std::string(rest.substr(0, slash)));
         change.out = verb == "take-out";
         change.replaces = *replaces;
-        return answerReply(m_hooks.change(change));
+        return decide(exchange, change);
+    }
+
+    http::Reply decide(http::Exchange &exchange, const changes::Change &change) const
+    {
+        const auto answer =
+            http::await<changes::Answer>(exchange.yield(), [this, &change](std::function<void(changes::Answer)> done) {
+                m_hooks.change(change, std::move(done));
+            });
+        return answerReply(answer);
     }
 
     static std::optional<std::uint64_t> number(std::string_view text)
@@ -115,7 +147,8 @@
         return http::jsonReply(status::ok,
                                {{"role", "control"},
                                 {"id", m_id.str()},
-                                {"standing", describeStanding(m_hooks.standing())},
+                                {"standing", describeStanding(*m_hooks.standing())},
+                                {"log", describeLog(m_hooks.log())},
                                 {"entry_hosts", describeHosts(m_hooks.hosts())},
                                 {"targets", m_hooks.targetCount()}});
     }
--- a/src/control/operatorfront.h
+++ b/src/control/operatorfront.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "changes/ledger.h"
+#include "consensus/replica.h"
 #include "http/server.h"
 #include "membership/hosts.h"
 
@@ -16,8 +17,11 @@
 
 /** What the operators' requests lead to. */
 struct OperatorHooks {
-    std::function<changes::Answer(const changes::Change &)> change;
-    std::function<changes::Standing()> standing;
+    /** Has a change decided; the hook may run on any thread. */
+    std::function<void(const changes::Change &, std::function<void(changes::Answer)>)> change;
+    std::function<std::shared_ptr<const changes::Standing>()> standing;
+    /** This host's part in the replicated log. */
+    std::function<consensus::Inspection()> log;
     std::function<std::vector<membership::EntryHost>()> hosts;
     std::function<std::size_t()> targetCount;
 };
--- /dev/null
+++ b/src/control/peerfeed.cpp
@@ -0,0 +1,113 @@
+#include "control/peerfeed.h"
+
+#include "core/log.h"
+#include "rpc/codec.h"
+
+#include <utility>
+
+namespace pimentoshed::control
+{
+
+namespace
+{
+
+constexpr auto Hold = std::chrono::milliseconds(2000);
+constexpr auto FollowTimeout = std::chrono::milliseconds(4000);
+constexpr auto RetryDelay = std::chrono::milliseconds(500);
+constexpr auto SilentLimit = std::chrono::seconds(10);
+
+} // namespace
+
+PeerFeed::PeerFeed(Parts parts, core::HostId peer, const std::string &address)
+    : m_parts(std::move(parts))
+    , m_peer(std::move(peer))
+    , m_client(address)
+    , m_lastAnswer(m_parts.timers.now())
+{
+}
+
+void PeerFeed::start()
+{
+    ask();
+}
+
+void PeerFeed::stop()
+{
+    m_stopped = true;
+    const core::Lock lock(m_mutex);
+    m_timer.cancel();
+}
+
+void PeerFeed::ask()
+{
+    if (m_stopped) {
+        return;
+    }
+    rpc::FollowRequest request;
+    request.set_peer(true);
+    // The standing comes through the replicated log.
+    request.set_revision(std::numeric_limits<std::uint64_t>::max());
+    request.set_feed_id(m_feedId);
+    request.set_feed_position(m_feedPosition);
+    request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
+    m_client.follow(request, FollowTimeout, [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
+        self->m_parts.pool.post([self, reply = std::move(reply)]() {
+            self->take(reply);
+        });
+    });
+}
+
+void PeerFeed::take(const core::Result<rpc::FollowReply> &reply)
+{
+    if (m_stopped) {
+        return;
+    }
+    const auto now = m_parts.timers.now();
+    if (core::ok(reply)) {
+        m_lastAnswer = now;
+        adopt(core::value(reply));
+        ask();
+        return;
+    }
+    if (now - m_lastAnswer > SilentLimit) {
+        m_parts.hub.forgetSource(m_peer);
+    }
+    askLater();
+}
+
+void PeerFeed::adopt(const rpc::FollowReply &reply)
+{
+    bool changed = false;
+    for (const auto &message : reply.targets()) {
+        const auto target = rpc::decode(message);
+        if (core::ok(target)) {
+            changed = m_parts.hub.learn(core::value(target)) || changed;
+        }
+    }
+    if (reply.hosts_changed()) {
+        std::vector<membership::EntryHost> hosts;
+        hosts.reserve(static_cast<std::size_t>(reply.hosts_size()));
+        for (const auto &host : reply.hosts()) {
+            hosts.push_back(rpc::decode(host));
+        }
+        changed = m_parts.hub.hearFrom(m_peer, hosts) || changed;
+    }
+    m_feedId = reply.feed_id();
+    m_feedPosition = reply.feed_position();
+    if (changed) {
+        m_parts.news();
+    }
+}
+
+void PeerFeed::askLater()
+{
+    auto subscription = m_parts.timers.after(RetryDelay, [weak = weak_from_this()]() {
+        if (const auto self = weak.lock()) {
+            self->ask();
+        }
+    });
+    const core::Lock lock(m_mutex);
+    m_timer = std::move(subscription);
+}
+
+} // namespace pimentoshed::control
--- /dev/null
+++ b/src/control/peerfeed.h
@@ -0,0 +1,56 @@
+/**
+ * @file
+ * Follows another control host, so that every control host knows every entry host and target.
+ */
+#pragma once
+
+#include "core/rankedmutex.h"
+#include "core/timerservice.h"
+#include "core/workerpool.h"
+#include "membership/hub.h"
+#include "rpc/controlclient.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pimentoshed::control
+{
+
+/** Follows until stopped. Forgets the other's entry hosts once it has not answered for long. Thread-safe. */
+class PeerFeed : public std::enable_shared_from_this<PeerFeed>
+{
+public:
+    struct Parts {
+        core::WorkerPool &pool;
+        core::TimerService &timers;
+        membership::Hub &hub;
+        /** Called after something new came. */
+        std::function<void()> news;
+    };
+
+    PeerFeed(Parts parts, core::HostId peer, const std::string &address);
+
+    void start();
+    void stop();
+
+private:
+    void ask();
+    void take(const core::Result<rpc::FollowReply> &reply);
+    void adopt(const rpc::FollowReply &reply);
+    void askLater();
+
+    const Parts m_parts;
+    const core::HostId m_peer;
+    rpc::ControlClient m_client;
+    std::atomic<bool> m_stopped{false};
+    /** One call at a time, so these need no lock. */
+    std::uint64_t m_feedId = 0;
+    std::uint64_t m_feedPosition = 0;
+    core::TimePoint m_lastAnswer;
+    core::RankedMutex m_mutex{core::LockRank::Connections};
+    core::TimerSubscription m_timer;
+};
+
+} // namespace pimentoshed::control
--- /dev/null
+++ b/src/control/replicator.cpp
@@ -0,0 +1,335 @@
+#include "control/replicator.h"
+
+#include "core/log.h"
+#include "rpc/replicationcodec.h"
+
+#include <algorithm>
+#include <future>
+#include <iterator>
+#include <utility>
+
+namespace pimentoshed::control
+{
+
+namespace
+{
+
+constexpr auto SubmitLimit = std::chrono::seconds(5);
+/** The disk of a host that was there from the start. */
+constexpr const char *InitialDisk = "initial";
+
+const core::Error MayYetBeApplied{core::ErrorCode::ChangeNotCommitted, "send it again under the same id"};
+
+consensus::LogIndex firstAfter(const rpc::RestoredLog &log)
+{
+    return log.snapshot ? log.snapshot->last.index : consensus::LogIndex();
+}
+
+core::Result<consensus::Replica> makeReplica(const rpc::RestoredLog &log,
+                                             const consensus::MemberId &self,
+                                             const core::RandomSource &random,
+                                             core::TimePoint now)
+{
+    consensus::Replica::Builder builder;
+    builder.self(self).hardState(log.hardState).entries(log.entries).random(random);
+    if (log.initialMembers) {
+        builder.initialMembers(*log.initialMembers);
+    }
+    if (log.snapshot) {
+        builder.snapshot(*log.snapshot);
+    }
+    return builder.build(now);
+}
+
+} // namespace
+
+core::Result<std::unique_ptr<Replicator>> Replicator::open(const std::string &folder,
+                                                           const core::HostId &host,
+                                                           ReplicatorHooks hooks,
+                                                           const core::RandomSource &random)
+{
+    auto opened = journal::Journal::open(folder, host.str());
+    if (!core::ok(opened)) {
+        return core::error(opened);
+    }
+    auto &[journal, records, cutBytes] = core::value(opened);
+    if (cutBytes > 0) {
+        core::log(core::LogLevel::Warning, "journal-tail-cut", {{"bytes", static_cast<std::uint64_t>(cutBytes)}});
+    }
+    const auto log = rpc::decodeRecords(records);
+    if (!core::ok(log)) {
+        return core::error(log);
+    }
+    const consensus::MemberId self{host, consensus::DiskId(journal.identity().disk)};
+    auto replica = makeReplica(core::value(log), self, random, hooks.now());
+    if (!core::ok(replica)) {
+        return core::error(replica);
+    }
+    std::unique_ptr<Replicator> made(
+        new Replicator(std::move(journal), std::move(core::value(replica)), std::move(hooks)));
+    made->m_applied = firstAfter(core::value(log));
+    if (core::value(log).snapshot) {
+        made->m_hooks.restore(core::value(log).snapshot->payload);
+    }
+    return made;
+}
+
+core::Status Replicator::create(const std::string &folder,
+                                const core::HostId &host,
+                                const std::vector<core::HostId> &hosts)
+{
+    rpc::RestoredLog log;
+    log.initialMembers.emplace();
+    for (const auto &member : hosts) {
+        log.initialMembers->voters.push_back({member, consensus::DiskId(InitialDisk)});
+    }
+    return journal::Journal::create(folder, {host.str(), InitialDisk}, {rpc::encodeRecord(log)});
+}
+
+Replicator::Replicator(journal::Journal journal, consensus::Replica replica, ReplicatorHooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_replica(std::move(replica))
+    , m_journal(std::move(journal))
+    , m_journalBytes(m_journal.bytes())
+{
+}
+
+void Replicator::tick()
+{
+    core::Lock lock(m_mutex);
+    m_replica.tick(m_hooks.now());
+    drive(lock);
+}
+
+void Replicator::receive(const consensus::Message &message)
+{
+    core::Lock lock(m_mutex);
+    m_replica.receive(message, m_hooks.now());
+    drive(lock);
+}
+
+void Replicator::submit(std::string payload, SubmitHook hook)
+{
+    core::Lock lock(m_mutex);
+    const auto now = m_hooks.now();
+    const auto proposed = m_replica.propose(std::move(payload), now);
+    if (!core::ok(proposed)) {
+        lock.unlock();
+        hook(core::error(proposed));
+        return;
+    }
+    const auto id = core::value(proposed);
+    m_pending.insert_or_assign(id.index, Pending{id, std::move(hook), now + SubmitLimit});
+    drive(lock);
+}
+
+void Replicator::confirm(ConfirmHook hook)
+{
+    core::Lock lock(m_mutex);
+    m_lastRead = m_lastRead.next();
+    const auto asked = m_replica.confirmCurrent(m_lastRead, m_hooks.now());
+    if (!core::ok(asked)) {
+        lock.unlock();
+        hook(core::error(asked));
+        return;
+    }
+    m_reads.emplace(m_lastRead, std::move(hook));
+    drive(lock);
+}
+
+core::Result<consensus::EntryId> Replicator::changeMembers(const consensus::MembersChange &change)
+{
+    core::Lock lock(m_mutex);
+    auto started = m_replica.changeMembers(change, m_hooks.now());
+    drive(lock);
+    return started;
+}
+
+consensus::LogIndex Replicator::applied() const
+{
+    const core::Lock lock(m_mutex);
+    return m_applied;
+}
+
+consensus::Inspection Replicator::inspect() const
+{
+    const core::Lock lock(m_mutex);
+    return m_replica.inspect();
+}
+
+consensus::MemberId Replicator::self() const
+{
+    return inspect().self;
+}
+
+std::size_t Replicator::journalBytes() const
+{
+    return m_journalBytes;
+}
+
+void Replicator::stop()
+{
+    std::promise<void> stored;
+    m_storage.post([&stored]() {
+        stored.set_value();
+    });
+    stored.get_future().wait();
+    m_storage.stop();
+}
+
+void Replicator::drive(core::Lock &lock)
+{
+    Deferred deferred;
+    carryOut(m_replica.takeEffects(), deferred);
+    expirePending(deferred);
+    lock.unlock();
+    for (const auto &task : deferred) {
+        task();
+    }
+}
+
+void Replicator::carryOut(consensus::Effects effects, Deferred &deferred)
+{
+    applyCommitted(effects, deferred);
+    answerReads(effects, deferred);
+    for (const auto &change : effects.roleChanges) {
+        core::log(core::LogLevel::Info,
+                  "role",
+                  {{"role", core::nameOf(consensus::RoleNames, change.role)}, {"term", change.term.value()}});
+    }
+    bool waits = effects.needsSync();
+    for (const auto &outgoing : effects.messages) {
+        if (outgoing.afterSync) {
+            waits = true;
+        } else {
+            deferred.push_back([this, message = outgoing.message]() {
+                m_hooks.send(message);
+            });
+        }
+    }
+    if (waits) {
+        m_storage.post([this, batch = std::move(effects)]() {
+            store(batch);
+        });
+    }
+}
+
+void Replicator::applyCommitted(const consensus::Effects &effects, Deferred &deferred)
+{
+    if (effects.restore) {
+        m_hooks.restore(effects.restore->payload);
+        m_applied = effects.restore->last.index;
+    }
+    for (const auto &entry : effects.committed) {
+        std::string answer;
+        if (entry.kind == consensus::EntryKind::Change) {
+            answer = m_hooks.apply(entry.payload);
+        }
+        m_applied = entry.id.index;
+        answerPending(entry, answer, deferred);
+    }
+    if (effects.restore || !effects.committed.empty()) {
+        deferred.push_back(m_hooks.applied);
+    }
+}
+
+void Replicator::answerPending(const consensus::Entry &entry, const std::string &answer, Deferred &deferred)
+{
+    const auto found = m_pending.find(entry.id.index);
+    if (found == m_pending.end()) {
+        return;
+    }
+    const bool same = found->second.id == entry.id;
+    deferred.push_back([hook = std::move(found->second.hook), same, answer]() {
+        // Another entry took its place, so that this one never will be applied.
+        hook(same ? core::Result<std::string>(answer)
+                  : core::Error{core::ErrorCode::NoQuorum, "overtaken by a change of leader"});
+    });
+    m_pending.erase(found);
+}
+
+void Replicator::answerReads(const consensus::Effects &effects, Deferred &deferred)
+{
+    for (const auto &confirmed : effects.confirmedReads) {
+        if (auto read = m_reads.extract(confirmed.token)) {
+            deferred.push_back([hook = std::move(read.mapped()), index = confirmed.index]() {
+                hook(index);
+            });
+        }
+    }
+    for (const auto &failed : effects.failedReads) {
+        if (auto read = m_reads.extract(failed.token)) {
+            deferred.push_back([hook = std::move(read.mapped()), error = failed.error]() {
+                hook(error);
+            });
+        }
+    }
+}
+
+void Replicator::expirePending(Deferred &deferred)
+{
+    const auto now = m_hooks.now();
+    for (auto entry = m_pending.begin(); entry != m_pending.end();) {
+        if (entry->second.until > now) {
+            ++entry;
+            continue;
+        }
+        deferred.push_back([hook = std::move(entry->second.hook)]() {
+            hook(MayYetBeApplied);
+        });
+        entry = m_pending.erase(entry);
+    }
+}
+
+void Replicator::store(const consensus::Effects &effects)
+{
+    if (m_storageFailed) {
+        return;
+    }
+    const auto written = write(effects);
+    core::Lock lock(m_mutex);
+    if (!core::ok(written)) {
+        m_storageFailed = true;
+        m_replica.storageFailed();
+        core::log(core::LogLevel::Error, "storage-failed", {{"error", describe(core::error(written))}});
+        drive(lock);
+        return;
+    }
+    lock.unlock();
+    for (const auto &outgoing : effects.messages) {
+        if (outgoing.afterSync) {
+            m_hooks.send(outgoing.message);
+        }
+    }
+    lock.lock();
+    m_replica.persisted(effects.batch, m_hooks.now());
+    drive(lock);
+}
+
+core::Status Replicator::write(const consensus::Effects &effects)
+{
+    if (!effects.needsSync()) {
+        return std::monostate{};
+    }
+    auto step = m_journal.append(rpc::encodeRecord(effects));
+    if (core::ok(step) && effects.snapshot) {
+        step = compactJournal();
+    }
+    m_journalBytes = m_journal.bytes();
+    return step;
+}
+
+core::Status Replicator::compactJournal()
+{
+    const auto records = m_journal.records();
+    if (!core::ok(records)) {
+        return core::error(records);
+    }
+    const auto log = rpc::decodeRecords(core::value(records));
+    if (!core::ok(log)) {
+        return core::error(log);
+    }
+    return m_journal.rewrite({rpc::encodeRecord(core::value(log))});
+}
+
+} // namespace pimentoshed::control
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "rpc/codec.h"
 
+#include <iterator>
 #include <utility>
 
 namespace pimentoshed::entry
@@ -15,6 +16,9 @@
 constexpr auto FollowTimeout = std::chrono::milliseconds(1000);
 constexpr auto ReportTimeout = std::chrono::milliseconds(500);
 constexpr auto RetryDelay = std::chrono::milliseconds(100);
+/** Another control host is tried where this one confirms nothing for so long. */
+constexpr auto ConfirmPatience = std::chrono::milliseconds(1500);
+constexpr std::size_t AsksKept = 64;
 
 } // namespace
 
@@ -63,15 +67,25 @@
     request.set_feed_id(m_feedId);
     request.set_feed_position(m_feedPosition);
     request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
-    const auto asked = m_parts.timers.now();
-    client()->follow(request, FollowTimeout, [self = shared_from_this(), asked](core::Result<rpc::FollowReply> reply) {
-        self->m_parts.pool.post([self, asked, reply = std::move(reply)]() mutable {
-            self->take(std::move(reply), asked);
+    request.set_ask(noteAsked());
+    client()->follow(request, FollowTimeout, [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
+        self->m_parts.pool.post([self, reply = std::move(reply)]() {
+            self->take(reply);
         });
     });
 }
 
-void Follower::take(core::Result<rpc::FollowReply> reply, core::TimePoint asked)
+std::uint64_t Follower::noteAsked()
+{
+    const core::Lock lock(m_mutex);
+    m_asked.emplace(++m_lastAsk, m_parts.timers.now());
+    if (m_asked.size() > AsksKept) {
+        m_asked.erase(m_asked.begin());
+    }
+    return m_lastAsk;
+}
+
+void Follower::take(const core::Result<rpc::FollowReply> &reply)
 {
     if (m_stopped) {
         return;
@@ -82,11 +96,16 @@
         later(RetryDelay, &Follower::ask);
         return;
     }
-    adopt(core::value(reply), asked);
+    adopt(core::value(reply));
+    if (unconfirmedForLong()) {
+        moveOn();
+        later(RetryDelay, &Follower::ask);
+        return;
+    }
     ask();
 }
 
-void Follower::adopt(const rpc::FollowReply &reply, core::TimePoint asked)
+void Follower::adopt(const rpc::FollowReply &reply)
 {
     if (reply.has_standing()) {
         auto standing = rpc::decode(reply.standing());
@@ -99,7 +118,7 @@
     for (const auto &message : reply.targets()) {
         const auto target = rpc::decode(message);
         if (core::ok(target)) {
-            m_parts.targets.learn(core::value(target));
+            learn(core::value(target));
         }
     }
     if (reply.hosts_changed()) {
@@ -109,15 +128,49 @@
         }
         m_parts.view.setHosts(std::move(hosts));
     }
-    if (reply.current()) {
-        m_parts.view.confirm(reply.revision(), asked);
-    }
+    confirm(reply);
     m_feedPosition = reply.feed_position();
     if (m_feedId.exchange(reply.feed_id()) != reply.feed_id()) {
         reportAllOwn();
     }
 }
 
+void Follower::learn(const targets::Target &target)
+{
+    if (m_parts.targets.learn(target) != targets::Reception::Reasserted) {
+        return;
+    }
+    if (const auto known = m_parts.targets.find(target.id)) {
+        report(*known);
+    }
+}
+
+void Follower::confirm(const rpc::FollowReply &reply)
+{
+    const auto asked = takeAsked(reply.confirmed_ask());
+    if (asked) {
+        m_parts.view.confirm(reply.revision(), *asked);
+    }
+}
+
+std::optional<core::TimePoint> Follower::takeAsked(std::uint64_t ask)
+{
+    const core::Lock lock(m_mutex);
+    const auto asked = m_asked.find(ask);
+    if (asked == m_asked.end()) {
+        return std::nullopt;
+    }
+    m_lastConfirmed = asked->second;
+    m_asked.erase(m_asked.begin(), std::next(asked));
+    return m_lastConfirmed;
+}
+
+bool Follower::unconfirmedForLong() const
+{
+    const core::Lock lock(m_mutex);
+    return m_parts.timers.now() - m_lastConfirmed > ConfirmPatience;
+}
+
 void Follower::reportAllOwn()
 {
     const auto self = m_parts.self().id;
@@ -175,6 +228,10 @@
 
 void Follower::moveOn()
 {
+    {
+        const core::Lock lock(m_mutex);
+        m_lastConfirmed = m_parts.timers.now();
+    }
     m_chosen = (m_chosen + 1) % m_clients.size();
 }
 
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -13,7 +13,9 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -43,8 +45,14 @@
 
 private:
     void ask();
-    void take(core::Result<rpc::FollowReply> reply, core::TimePoint asked);
-    void adopt(const rpc::FollowReply &reply, core::TimePoint asked);
+    std::uint64_t noteAsked();
+    void take(const core::Result<rpc::FollowReply> &reply);
+    void adopt(const rpc::FollowReply &reply);
+    void learn(const targets::Target &target);
+    void confirm(const rpc::FollowReply &reply);
+    /** When the call numbered @p ask was made; it and those before it are forgotten. */
+    std::optional<core::TimePoint> takeAsked(std::uint64_t ask);
+    bool unconfirmedForLong() const;
     void reportAllOwn();
     void sendReports();
     void reportEnded(const std::vector<targets::Target> &sent, bool arrived);
@@ -58,7 +66,11 @@
     std::atomic<bool> m_stopped{false};
     std::atomic<std::uint64_t> m_feedId{0};
     std::atomic<std::uint64_t> m_feedPosition{0};
-    core::RankedMutex m_mutex{core::LockRank::Connections};
+    mutable core::RankedMutex m_mutex{core::LockRank::Connections};
+    /** When each call that is not yet confirmed was made. */
+    std::map<std::uint64_t, core::TimePoint> m_asked;
+    std::uint64_t m_lastAsk = 0;
+    core::TimePoint m_lastConfirmed;
     std::unordered_map<core::TargetId, targets::Target> m_pending;
     bool m_reporting = false;
     core::TimerSubscription m_askTimer;
--- a/src/entry/targetfront.cpp
+++ b/src/entry/targetfront.cpp
@@ -92,6 +92,7 @@
             m_parts.report(announced);
             break;
         case targets::Reception::Renewed:
+        case targets::Reception::Reasserted:
             break;
         }
         const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(lease).count();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,6 +25,9 @@
 namespace
 {
 
+/** A connection's coroutine holds pieces of bodies and whole messages; pages that it does not touch cost nothing. */
+constexpr std::size_t StackBytes = 512UL << 10U;
+
 /** State that the server and its connections share. */
 struct Shared {
     Shared(Handler requestHandler, ServerLimits serverLimits)
@@ -52,9 +55,12 @@
 
     void start()
     {
-        asio::spawn(m_stream.get_executor(), [self = shared_from_this()](const Yield &yield) {
-            self->serve(yield);
-        });
+        asio::spawn(
+            m_stream.get_executor(),
+            [self = shared_from_this()](const Yield &yield) {
+                self->serve(yield);
+            },
+            boost::coroutines::attributes(StackBytes));
     }
 
     /** Closes the connection unless a request is in progress on it. */
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -2,7 +2,6 @@
 
 #include "journal/frame.h"
 
-#include <charconv>
 #include <fmt/format.h>
 #include <optional>
 #include <random>
@@ -17,10 +16,10 @@
 constexpr const char *JournalName = "journal";
 constexpr const char *IdentityName = "identity";
 
-std::uint64_t makeDiskId()
+std::string makeDiskId()
 {
     std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    return fmt::format("{:08x}{:08x}", device(), device());
 }
 
 std::string encode(const Identity &identity)
@@ -35,10 +34,7 @@
     if (space == std::string_view::npos || !text.ends_with('\n')) {
         return std::nullopt;
     }
-    const auto [end, code] = std::from_chars(text.data(), text.data() + space, identity.disk);
-    if (code != std::errc() || end != text.data() + space) {
-        return std::nullopt;
-    }
+    identity.disk = text.substr(0, space);
     identity.host = text.substr(space + 1, text.size() - space - 2);
     return identity;
 }
@@ -93,6 +89,15 @@
     return readWhole(path);
 }
 
+std::string joinFrames(const std::vector<std::string> &records)
+{
+    std::string bytes;
+    for (const auto &record : records) {
+        bytes += frame(record);
+    }
+    return bytes;
+}
+
 core::Status cut(const std::filesystem::path &path, std::size_t size)
 {
     std::error_code failure;
@@ -142,6 +147,22 @@
     return opened;
 }
 
+core::Status Journal::create(const std::filesystem::path &folder,
+                             const Identity &identity,
+                             const std::vector<std::string> &records,
+                             const FileHooks &hooks)
+{
+    auto step = makeFolder(folder, hooks);
+    if (!core::ok(step)) {
+        return step;
+    }
+    if (std::filesystem::exists(folder / IdentityName) || std::filesystem::exists(folder / JournalName)) {
+        return core::Error{core::ErrorCode::DataFolderForeign, "it is already in use"};
+    }
+    step = replaceFile(folder / IdentityName, encode(identity), hooks);
+    return core::ok(step) ? replaceFile(folder / JournalName, joinFrames(records), hooks) : step;
+}
+
 Journal::Journal(std::filesystem::path folder, Identity identity, FileHooks hooks)
     : m_folder(std::move(folder))
     , m_identity(std::move(identity))
@@ -182,10 +203,7 @@
     if (m_failed) {
         return core::Error{core::ErrorCode::JournalWriteFailed, "an earlier write failed"};
     }
-    std::string bytes;
-    for (const auto &record : records) {
-        bytes += frame(record);
-    }
+    const auto bytes = joinFrames(records);
     auto step = replaceFile(m_folder / JournalName, bytes, m_hooks);
     if (core::ok(step)) {
         step = openFile();
@@ -197,6 +215,19 @@
     return step;
 }
 
+core::Result<std::vector<std::string>> Journal::records() const
+{
+    const auto bytes = readJournal(m_folder / JournalName);
+    if (!core::ok(bytes)) {
+        return core::error(bytes);
+    }
+    auto frames = readFrames(core::value(bytes));
+    if (!core::ok(frames)) {
+        return core::error(frames);
+    }
+    return std::move(core::value(frames).records);
+}
+
 const Identity &Journal::identity() const
 {
     return m_identity;
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -9,7 +9,6 @@
 #include "journal/filehooks.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <filesystem>
 #include <string>
 #include <string_view>
@@ -21,8 +20,8 @@
 /** Whose data folder it is. */
 struct Identity {
     std::string host;
-    /** Made at random for each new data folder: a host that lost its disk is told from the one it was. */
-    std::uint64_t disk = 0;
+    /** Differs for each new data folder: a host that lost its disk is told from the one it was. */
+    std::string disk;
 
     bool operator==(const Identity &) const = default;
 };
@@ -42,12 +41,24 @@
                                      const std::string &host,
                                      FileHooks hooks = FileHooks::system());
 
+    /**
+     * Makes a folder for a host of a new system, which starts from @p records. Errors: DataFolderForeign where the
+     * folder is already in use, JournalWriteFailed.
+     */
+    static core::Status create(const std::filesystem::path &folder,
+                               const Identity &identity,
+                               const std::vector<std::string> &records,
+                               const FileHooks &hooks = FileHooks::system());
+
     /** Adds @p record durably. Error: JournalWriteFailed. */
     core::Status append(std::string_view record);
 
     /** Replaces everything with @p records durably, all or nothing. Error: JournalWriteFailed. */
     core::Status rewrite(const std::vector<std::string> &records);
 
+    /** Everything written so far. Errors: JournalDamaged, FileUnreadable. */
+    core::Result<std::vector<std::string>> records() const;
+
     const Identity &identity() const;
     std::size_t bytes() const;
 
--- a/src/membership/hub.cpp
+++ b/src/membership/hub.cpp
@@ -1,5 +1,8 @@
 #include "membership/hub.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace pimentoshed::membership
 {
 
@@ -14,11 +17,31 @@
     const bool changed = isNew || entry.host != host;
     entry = {host, now};
     if (changed) {
-        m_hostsPosition = ++m_position;
+        noteHostsChanged();
     }
     return changed;
 }
 
+bool Hub::hearFrom(const core::HostId &source, const std::vector<EntryHost> &hosts)
+{
+    const core::Lock lock(m_mutex);
+    auto &known = m_sources[source];
+    if (known == hosts) {
+        return false;
+    }
+    known = hosts;
+    noteHostsChanged();
+    return true;
+}
+
+void Hub::forgetSource(const core::HostId &source)
+{
+    const core::Lock lock(m_mutex);
+    if (m_sources.erase(source) > 0) {
+        noteHostsChanged();
+    }
+}
+
 bool Hub::learn(const targets::Target &target)
 {
     const core::Lock lock(m_mutex);
@@ -40,12 +63,12 @@
         return entry.second.heard < before;
     });
     if (count > 0) {
-        m_hostsPosition = ++m_position;
+        noteHostsChanged();
     }
     return count > 0;
 }
 
-FeedNews Hub::newsSince(std::uint64_t position) const
+FeedNews Hub::newsSince(std::uint64_t position, Audience audience) const
 {
     const core::Lock lock(m_mutex);
     FeedNews news;
@@ -55,9 +78,7 @@
     }
     news.hostsChanged = m_hostsPosition > position;
     if (news.hostsChanged) {
-        for (const auto &[id, entry] : m_hosts) {
-            news.hosts.push_back(entry.host);
-        }
+        news.hosts = knownTo(audience);
     }
     return news;
 }
@@ -71,11 +92,7 @@
 std::vector<EntryHost> Hub::hosts() const
 {
     const core::Lock lock(m_mutex);
-    std::vector<EntryHost> found;
-    for (const auto &[id, entry] : m_hosts) {
-        found.push_back(entry.host);
-    }
-    return found;
+    return knownTo(Audience::EntryHosts);
 }
 
 std::size_t Hub::targetCount() const
@@ -84,4 +101,36 @@
     return m_targets.size();
 }
 
+std::vector<EntryHost> Hub::knownTo(Audience audience) const
+{
+    std::map<core::HostId, EntryHost> newest;
+    const auto take = [&newest](const EntryHost &host) {
+        const auto [position, isNew] = newest.try_emplace(host.id, host);
+        auto &known = position->second;
+        // Of two records of one process, the one that says it stops is the later.
+        if (!isNew && std::pair(known.incarnation, known.stopping) < std::pair(host.incarnation, host.stopping)) {
+            known = host;
+        }
+    };
+    for (const auto &[id, entry] : m_hosts) {
+        take(entry.host);
+    }
+    if (audience == Audience::EntryHosts) {
+        for (const auto &[source, hosts] : m_sources) {
+            std::for_each(hosts.begin(), hosts.end(), take);
+        }
+    }
+    std::vector<EntryHost> found;
+    found.reserve(newest.size());
+    for (const auto &[id, host] : newest) {
+        found.push_back(host);
+    }
+    return found;
+}
+
+void Hub::noteHostsChanged()
+{
+    m_hostsPosition = ++m_position;
+}
+
 } // namespace pimentoshed::membership
--- a/src/membership/hub.h
+++ b/src/membership/hub.h
@@ -18,6 +18,14 @@
 namespace pimentoshed::membership
 {
 
+/** Whom a feed is for. */
+enum class Audience : std::uint8_t {
+    /** Is told of all entry hosts. */
+    EntryHosts,
+    /** Another control host: is told of the entry hosts that this one hears itself. */
+    Peers,
+};
+
 /** What has changed since a position in the feed. */
 struct FeedNews {
     std::uint64_t position = 0;
@@ -36,6 +44,12 @@
     /** Notes that @p host was heard from. Whether its record changed. */
     bool hear(const EntryHost &host, core::TimePoint now);
 
+    /** Takes what the control host @p source says of the entry hosts that it hears. Whether that changed anything. */
+    bool hearFrom(const core::HostId &source, const std::vector<EntryHost> &hosts);
+
+    /** Forgets what @p source said. */
+    void forgetSource(const core::HostId &source);
+
     /** Takes @p target's word. Whether it was new. */
     bool learn(const targets::Target &target);
 
@@ -43,9 +57,10 @@
     bool forgetSilent(core::TimePoint before);
 
     /** What came after @p position; 0 asks for everything. */
-    FeedNews newsSince(std::uint64_t position) const;
+    FeedNews newsSince(std::uint64_t position, Audience audience) const;
 
     std::uint64_t position() const;
+    /** Every entry host that is heard, here or at another control host. */
     std::vector<EntryHost> hosts() const;
     std::size_t targetCount() const;
 
@@ -59,10 +74,14 @@
         std::uint64_t position = 0;
     };
 
+    std::vector<EntryHost> knownTo(Audience audience) const;
+    void noteHostsChanged();
+
     mutable core::RankedMutex m_mutex{core::LockRank::Membership};
     std::uint64_t m_position = 0;
     std::uint64_t m_hostsPosition = 0;
     std::map<core::HostId, HostEntry> m_hosts;
+    std::map<core::HostId, std::vector<EntryHost>> m_sources;
     std::unordered_map<core::TargetId, TargetEntry> m_targets;
     std::map<std::uint64_t, core::TargetId> m_order;
 };
--- a/src/rpc/codec.cpp
+++ b/src/rpc/codec.cpp
@@ -34,6 +34,7 @@
     message.set_incarnation(target.word.incarnation);
     message.set_sequence(target.word.sequence);
     message.set_condition(static_cast<std::uint32_t>(target.condition));
+    message.set_lease_epoch(target.word.leaseEpoch);
     message.set_origin(target.origin.str());
 }
 
@@ -48,7 +49,7 @@
     target.service = core::ServiceName(message.service());
     target.domain = core::FailureDomain(message.domain());
     target.address = message.address();
-    target.word = {message.incarnation(), message.sequence()};
+    target.word = {message.incarnation(), message.sequence(), message.lease_epoch()};
     target.condition = condition;
     target.origin = core::HostId(message.origin());
     return target;
--- /dev/null
+++ b/src/rpc/commandcodec.cpp
@@ -0,0 +1,84 @@
+#include "rpc/commandcodec.h"
+
+#include "replication.pb.h"
+
+namespace pimentoshed::rpc
+{
+
+namespace
+{
+
+struct CommandEncoder {
+    Command &command;
+
+    void operator()(const changes::ApplyFile &change) const
+    {
+        auto *message = command.mutable_apply_file();
+        message->set_change_id(change.id.str());
+        message->set_text(change.text);
+    }
+    void operator()(const changes::MoveDomain &change) const
+    {
+        auto *message = command.mutable_move_domain();
+        message->set_change_id(change.id.str());
+        message->set_domain(change.domain.str());
+        message->set_out(change.out);
+        message->set_replaces(change.replaces);
+    }
+};
+
+} // namespace
+
+std::string encodeCommand(const changes::Change &change)
+{
+    Command command;
+    std::visit(CommandEncoder{command}, change);
+    return command.SerializeAsString();
+}
+
+core::Result<changes::Change> decodeCommand(const std::string &bytes)
+{
+    Command command;
+    if (!command.ParseFromString(bytes)) {
+        return core::Error{core::ErrorCode::MessageMalformed, "a command does not parse"};
+    }
+    if (command.has_apply_file()) {
+        const auto &message = command.apply_file();
+        return changes::Change(changes::ApplyFile{core::ChangeId(message.change_id()), message.text()});
+    }
+    if (command.has_move_domain()) {
+        const auto &message = command.move_domain();
+        return changes::Change(changes::MoveDomain{core::ChangeId(message.change_id()),
+                                                   core::FailureDomain(message.domain()),
+                                                   message.out(),
+                                                   message.replaces()});
+    }
+    return core::Error{core::ErrorCode::MessageMalformed, "an empty command"};
+}
+
+std::string encodeAnswer(const changes::Answer &answer)
+{
+    ChangeAnswer message;
+    if (core::ok(answer)) {
+        message.set_revision(core::value(answer).revision);
+        message.set_version(core::value(answer).version);
+    } else {
+        message.set_error(static_cast<std::uint32_t>(core::error(answer).code));
+        message.set_detail(core::error(answer).detail);
+    }
+    return message.SerializeAsString();
+}
+
+changes::Answer decodeAnswer(const std::string &bytes)
+{
+    ChangeAnswer message;
+    if (!message.ParseFromString(bytes)) {
+        return core::Error{core::ErrorCode::MessageMalformed, "an answer does not parse"};
+    }
+    if (message.error() != 0) {
+        return core::Error{static_cast<core::ErrorCode>(message.error()), message.detail()};
+    }
+    return changes::Accepted{message.revision(), message.version()};
+}
+
+} // namespace pimentoshed::rpc
--- a/src/rpc/controlclient.h
+++ b/src/rpc/controlclient.h
@@ -7,17 +7,14 @@
 #include "core/error.h"
 #include "core/time.h"
 #include "pimentoshed.pb.h"
+#include "rpc/call.h"
 
-#include <functional>
 #include <memory>
 #include <string>
 
 namespace pimentoshed::rpc
 {
 
-template<typename Reply>
-using ReplyHook = std::function<void(core::Result<Reply>)>;
-
 /** Thread-safe. Hooks run on gRPC's threads; error: PeerUnreachable. */
 class ControlClient
 {
--- a/src/rpc/controlserver.cpp
+++ b/src/rpc/controlserver.cpp
@@ -1,6 +1,7 @@
 #include "rpc/controlserver.h"
 
 #include "pimentoshed.grpc.pb.h"
+#include "replication.grpc.pb.h"
 
 #include <chrono>
 #include <grpcpp/grpcpp.h>
@@ -12,11 +13,21 @@
 namespace
 {
 
-class Service : public Control::CallbackService
+/** Ends a call with the reply that a hook yields. */
+template<typename Reply>
+Respond<Reply> respondTo(grpc::ServerUnaryReactor *reactor, Reply *reply)
+{
+    return [reactor, reply](const Reply &answer) {
+        *reply = answer;
+        reactor->Finish(grpc::Status::OK);
+    };
+}
+
+class ControlService : public Control::CallbackService
 {
 public:
-    explicit Service(ControlHooks hooks)
-        : m_hooks(std::move(hooks))
+    explicit ControlService(const ControlHooks &hooks)
+        : m_hooks(hooks)
     {
     }
 
@@ -25,10 +36,7 @@
                                      FollowReply *reply) override
     {
         auto *reactor = context->DefaultReactor();
-        m_hooks.follow(*request, [reactor, reply](const FollowReply &answer) {
-            *reply = answer;
-            reactor->Finish(grpc::Status::OK);
-        });
+        m_hooks.follow(*request, respondTo(reactor, reply));
         return reactor;
     }
 
@@ -37,24 +45,76 @@
                                      ReportReply *reply) override
     {
         auto *reactor = context->DefaultReactor();
-        m_hooks.report(*request, [reactor, reply](const ReportReply &answer) {
-            *reply = answer;
-            reactor->Finish(grpc::Status::OK);
-        });
+        m_hooks.report(*request, respondTo(reactor, reply));
         return reactor;
     }
 
 private:
-    const ControlHooks m_hooks;
+    const ControlHooks &m_hooks;
+};
+
+class ReplicationService : public Replication::CallbackService
+{
+public:
+    explicit ReplicationService(const ControlHooks &hooks)
+        : m_hooks(hooks)
+    {
+    }
+
+    grpc::ServerUnaryReactor *Deliver(grpc::CallbackServerContext *context,
+                                      const Envelope *request,
+                                      DeliverReply *) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_hooks.deliver(*request);
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *Identify(grpc::CallbackServerContext *context,
+                                       const IdentifyRequest *,
+                                       IdentifyReply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        *reply->mutable_member() = m_hooks.identify();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *Confirm(grpc::CallbackServerContext *context,
+                                      const ConfirmRequest *,
+                                      ConfirmReply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_hooks.confirm(respondTo(reactor, reply));
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *Submit(grpc::CallbackServerContext *context,
+                                     const SubmitRequest *request,
+                                     SubmitReply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_hooks.submit(*request, respondTo(reactor, reply));
+        return reactor;
+    }
+
+private:
+    const ControlHooks &m_hooks;
 };
 
+/** A snapshot travels in one message. */
+constexpr int MessageBytes = 64 << 20;
+
 } // namespace
 
 class ControlServer::Impl
 {
 public:
     explicit Impl(ControlHooks hooks)
-        : m_service(std::move(hooks))
+        : m_hooks(std::move(hooks))
+        , m_control(m_hooks)
+        , m_replication(m_hooks)
     {
     }
 
@@ -63,7 +123,9 @@
         grpc::ServerBuilder builder;
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
         builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &m_port);
-        builder.RegisterService(&m_service);
+        builder.SetMaxReceiveMessageSize(MessageBytes);
+        builder.RegisterService(&m_control);
+        builder.RegisterService(&m_replication);
         m_server = builder.BuildAndStart();
         return m_server != nullptr && m_port != 0;
     }
@@ -82,7 +144,9 @@
     }
 
 private:
-    Service m_service;
+    const ControlHooks m_hooks;
+    ControlService m_control;
+    ReplicationService m_replication;
     std::unique_ptr<grpc::Server> m_server;
     int m_port = 0;
 };
--- a/src/rpc/controlserver.h
+++ b/src/rpc/controlserver.h
@@ -6,6 +6,7 @@
 
 #include "core/error.h"
 #include "pimentoshed.pb.h"
+#include "replication.pb.h"
 
 #include <functional>
 #include <memory>
@@ -22,6 +23,10 @@
 struct ControlHooks {
     std::function<void(const FollowRequest &, Respond<FollowReply>)> follow;
     std::function<void(const ReportRequest &, Respond<ReportReply>)> report;
+    std::function<void(const Envelope &)> deliver;
+    std::function<MemberId()> identify;
+    std::function<void(Respond<ConfirmReply>)> confirm;
+    std::function<void(const SubmitRequest &, Respond<SubmitReply>)> submit;
 };
 
 /** Serves until it goes. */
--- /dev/null
+++ b/src/rpc/peerclient.cpp
@@ -0,0 +1,68 @@
+#include "rpc/peerclient.h"
+
+#include "replication.grpc.pb.h"
+
+#include <utility>
+
+namespace pimentoshed::rpc
+{
+
+class PeerClient::Impl
+{
+public:
+    explicit Impl(const std::string &address)
+        : m_stub(Replication::NewStub(makeChannel(address)))
+    {
+    }
+
+    Replication::Stub &stub()
+    {
+        return *m_stub;
+    }
+
+private:
+    std::unique_ptr<Replication::Stub> m_stub;
+};
+
+PeerClient::PeerClient(const std::string &address)
+    : m_impl(std::make_shared<Impl>(address))
+{
+}
+
+PeerClient::~PeerClient() = default;
+
+void PeerClient::deliver(const Envelope &envelope, core::Duration timeout)
+{
+    auto call = detail::makeCall<Envelope, DeliverReply>(envelope, timeout, [](const auto &) {});
+    m_impl->stub().async()->Deliver(
+        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &) {});
+}
+
+void PeerClient::identify(core::Duration timeout, ReplyHook<IdentifyReply> hook)
+{
+    auto call = detail::makeCall<IdentifyRequest, IdentifyReply>({}, timeout, std::move(hook));
+    m_impl->stub().async()->Identify(
+        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &status) {
+            call->finish(status);
+        });
+}
+
+void PeerClient::confirm(core::Duration timeout, ReplyHook<ConfirmReply> hook)
+{
+    auto call = detail::makeCall<ConfirmRequest, ConfirmReply>({}, timeout, std::move(hook));
+    m_impl->stub().async()->Confirm(
+        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &status) {
+            call->finish(status);
+        });
+}
+
+void PeerClient::submit(const SubmitRequest &request, core::Duration timeout, ReplyHook<SubmitReply> hook)
+{
+    auto call = detail::makeCall<SubmitRequest, SubmitReply>(request, timeout, std::move(hook));
+    m_impl->stub().async()->Submit(
+        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &status) {
+            call->finish(status);
+        });
+}
+
+} // namespace pimentoshed::rpc
--- a/src/targets/target.h
+++ b/src/targets/target.h
@@ -30,10 +30,14 @@
     core::EnumName<Condition>{Condition::Gone, "gone"},
 };
 
-/** Orders the words of one target: a restart raises the incarnation, every other change the sequence. */
+/**
+ * Orders the words of one target: a restart raises the incarnation, every other change of its own the sequence. Entry
+ * hosts raise the lease epoch when the lease ends or another host takes it over.
+ */
 struct Word {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    std::uint64_t leaseEpoch = 0;
 
     auto operator<=>(const Word &) const = default;
 };
--- a/src/targets/targettable.cpp
+++ b/src/targets/targettable.cpp
@@ -1,18 +1,65 @@
 #include "targets/targettable.h"
 
+#include <utility>
+
 namespace pimentoshed::targets
 {
 
-Reception TargetTable::announce(const Target &target, core::TimePoint leaseEnd)
+namespace
+{
+
+/** The words without what entry hosts add to them. */
+auto ownWord(const Word &word)
+{
+    return std::pair(word.incarnation, word.sequence);
+}
+
+} // namespace
+
+Reception TargetTable::announce(Target target, core::TimePoint leaseEnd)
 {
     const core::Lock lock(m_mutex);
-    return store(target, leaseEnd);
+    const auto lease = target.condition == Condition::Gone ? std::nullopt : std::optional(leaseEnd);
+    const auto found = m_entries.find(target.id);
+    if (found == m_entries.end()) {
+        insert(target, lease);
+        return Reception::Changed;
+    }
+    auto &entry = found->second;
+    const auto &known = entry.target;
+    if (ownWord(target.word) < ownWord(known.word)) {
+        return Reception::Stale;
+    }
+    const bool sameWord = ownWord(target.word) == ownWord(known.word);
+    if (sameWord && entry.leaseEnd) {
+        entry.leaseEnd = lease;
+        return Reception::Renewed;
+    }
+    target.word.leaseEpoch = sameWord ? known.word.leaseEpoch + 1 : 0;
+    replace(entry, target, lease);
+    return Reception::Changed;
 }
 
 Reception TargetTable::learn(const Target &target)
 {
     const core::Lock lock(m_mutex);
-    return store(target, std::nullopt);
+    const auto found = m_entries.find(target.id);
+    if (found == m_entries.end()) {
+        insert(target, std::nullopt);
+        return Reception::Changed;
+    }
+    auto &entry = found->second;
+    if (target.word <= entry.target.word) {
+        return target.word == entry.target.word ? Reception::Renewed : Reception::Stale;
+    }
+    const bool onlyLeaseEnded =
+        target.condition == Condition::Gone && ownWord(target.word) == ownWord(entry.target.word);
+    if (onlyLeaseEnded && entry.leaseEnd) {
+        entry.target.word.leaseEpoch = target.word.leaseEpoch + 1;
+        return Reception::Reasserted;
+    }
+    replace(entry, target, std::nullopt);
+    return Reception::Changed;
 }
 
 std::vector<Target> TargetTable::expire(core::TimePoint now)
@@ -25,7 +72,7 @@
         }
         entry.leaseEnd.reset();
         entry.target.condition = Condition::Gone;
-        ++entry.target.word.sequence;
+        ++entry.target.word.leaseEpoch;
         expired.push_back(entry.target);
     }
     return expired;
@@ -73,28 +120,18 @@
     return m_entries.size();
 }
 
-Reception TargetTable::store(const Target &target, std::optional<core::TimePoint> leaseEnd)
+void TargetTable::replace(Entry &entry, const Target &target, std::optional<core::TimePoint> leaseEnd)
 {
-    auto [position, isNew] = m_entries.try_emplace(target.id, Entry{target, leaseEnd});
-    if (isNew) {
-        index(target);
-        return Reception::Changed;
-    }
-    auto &entry = position->second;
-    if (target.word < entry.target.word) {
-        return Reception::Stale;
-    }
-    const bool changed = entry.target != target;
     if (entry.target.service != target.service) {
         std::erase(m_byService[entry.target.service], target.id);
-        index(target);
+        m_byService[target.service].push_back(target.id);
     }
-    entry = Entry{target, target.condition == Condition::Gone ? std::nullopt : leaseEnd};
-    return changed ? Reception::Changed : Reception::Renewed;
+    entry = Entry{target, leaseEnd};
 }
 
-void TargetTable::index(const Target &target)
+void TargetTable::insert(const Target &target, std::optional<core::TimePoint> leaseEnd)
 {
+    m_entries.emplace(target.id, Entry{target, leaseEnd});
     m_byService[target.service].push_back(target.id);
 }
 
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -22,6 +22,8 @@
     Changed,
     Renewed,
     Stale,
+    /** Another host let the lease end that this host keeps; this host's word now says otherwise. */
+    Reasserted,
 };
 
 /**
@@ -30,8 +32,11 @@
 class TargetTable
 {
 public:
-    /** Takes @p target's own announcement at this host, which keeps its lease until @p leaseEnd from now on. */
-    Reception announce(const Target &target, core::TimePoint leaseEnd);
+    /**
+     * Takes @p target's own announcement at this host, which keeps its lease until @p leaseEnd from now on. The lease
+     * epoch of @p target is set here.
+     */
+    Reception announce(Target target, core::TimePoint leaseEnd);
 
     /** Takes a record that another host passed on. */
     Reception learn(const Target &target);
@@ -50,8 +55,8 @@
         std::optional<core::TimePoint> leaseEnd;
     };
 
-    Reception store(const Target &target, std::optional<core::TimePoint> leaseEnd);
-    void index(const Target &target);
+    void replace(Entry &entry, const Target &target, std::optional<core::TimePoint> leaseEnd);
+    void insert(const Target &target, std::optional<core::TimePoint> leaseEnd);
 
     mutable core::RankedMutex m_mutex{core::LockRank::Targets};
     std::unordered_map<core::TargetId, Entry> m_entries;
--- /dev/null
+++ b/tests/processes/control.cpp
@@ -0,0 +1,181 @@
+#include "processes/harness.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <optional>
+#include <thread>
+
+using namespace pimentoshed;
+using namespace pimentoshed::processes;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string LibraryFile = PIMENTOSHED_SOURCE "/examples/library.toml";
+const std::string StatePath = "/pimentoshed/v1/state";
+
+std::string stateOf(const std::string &address)
+{
+    const auto answer = ask(address, StatePath);
+    return core::ok(answer) ? core::value(answer).body : std::string();
+}
+
+bool stateSays(const std::string &address, const std::string &text)
+{
+    return stateOf(address).find(text) != std::string::npos;
+}
+
+bool lookUp(const Fleet &fleet, unsigned entry, const std::string &path)
+{
+    const auto answer = ask(fleet.callerAddress(entry), path);
+    return core::ok(answer) && core::value(answer).status == 200 && core::value(answer).body == "GET " + path + " ";
+}
+
+/** The number of the leading control host, or nothing. */
+std::optional<unsigned> leaderOf(const Fleet &fleet, unsigned controlHosts)
+{
+    for (unsigned i = 0; i < controlHosts; ++i) {
+        if (stateSays(fleet.operatorAddress(i), "\"role\":\"leader\"")) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("an applied file outlives a kill of the only control host")
+{
+    Fleet fleet(11, 2);
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(), LibraryFile}) == 0);
+    fleet.control().signal(SIGKILL);
+    fleet.control().wait();
+    fleet.startControl(0);
+    CHECK(eventually(
+        [&]() {
+            return stateSays(fleet.operatorAddress(), "\"version\":1");
+        },
+        10s));
+}
+
+TEST_CASE("three control hosts go on after the loss of the leader, with every accepted change")
+{
+    Fleet fleet(12, 6, 3);
+    REQUIRE(eventually(
+        [&]() {
+            return leaderOf(fleet, 3).has_value();
+        },
+        10s));
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(1), LibraryFile}) == 0);
+    fleet.addTargets("catalogue", 6);
+    REQUIRE(fleet.settles(6));
+    const auto leader = *leaderOf(fleet, 3);
+    fleet.control(leader).signal(SIGKILL);
+    fleet.control(leader).wait();
+    // The permission of the entry hosts outlasts the change of leader, so service never stops.
+    for (unsigned i = 0; i < 60; ++i) {
+        CHECK(lookUp(fleet, i % 6, "/catalogue/" + std::to_string(i)));
+        std::this_thread::sleep_for(100ms);
+    }
+    const auto other = (leader + 1) % 3;
+    CHECK(eventually(
+        [&]() {
+            return fleet.run({"take-out", "--at=" + fleet.operatorAddress(other), "ravne"}) == 0;
+        },
+        10s));
+    fleet.startControl(leader);
+    CHECK(eventually(
+        [&]() {
+            return stateSays(fleet.operatorAddress(leader), "\"ravne\":{\"changes\":1,\"out\":true}");
+        },
+        10s));
+    for (unsigned i = 0; i < 6; ++i) {
+        CHECK(eventually(
+            [&]() {
+                return stateSays(fleet.platformAddress(i), "\"revision\":2");
+            },
+            5s));
+    }
+}
+
+TEST_CASE("a frozen leader is replaced and accepts nothing once it wakes")
+{
+    Fleet fleet(13, 3, 3);
+    REQUIRE(eventually(
+        [&]() {
+            return leaderOf(fleet, 3).has_value();
+        },
+        10s));
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(0), LibraryFile}) == 0);
+    const auto leader = *leaderOf(fleet, 3);
+    const auto other = (leader + 1) % 3;
+    fleet.control(leader).signal(SIGSTOP);
+    REQUIRE(eventually(
+        [&]() {
+            return fleet.run({"take-out", "--at=" + fleet.operatorAddress(other), "ravne"}) == 0;
+        },
+        15s));
+    fleet.control(leader).signal(SIGCONT);
+    CHECK(eventually(
+        [&]() {
+            return stateSays(fleet.operatorAddress(leader), "\"ravne\":{\"changes\":1,\"out\":true}");
+        },
+        10s));
+    CHECK(fleet.run({"return", "--at=" + fleet.operatorAddress(leader), "ravne"}) == 0);
+}
+
+TEST_CASE("without a quorum nothing is accepted and entry hosts stop once their permission has run out")
+{
+    Fleet fleet(14, 3, 3);
+    REQUIRE(eventually(
+        [&]() {
+            return leaderOf(fleet, 3).has_value();
+        },
+        10s));
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(0), LibraryFile}) == 0);
+    fleet.addTargets("catalogue", 3);
+    REQUIRE(fleet.settles(3));
+    fleet.control(1).signal(SIGKILL);
+    fleet.control(2).signal(SIGKILL);
+    CHECK(eventually(
+        [&]() {
+            return stateSays(fleet.platformAddress(0), "\"current\":false");
+        },
+        6s));
+    const auto refused = ask(fleet.callerAddress(0), "/catalogue/1");
+    REQUIRE(core::ok(refused));
+    CHECK(core::value(refused).status == 503);
+    CHECK(http::headerOf(core::value(refused), "Pimentoshed-Run") == "not-run");
+    CHECK(fleet.run({"take-out", "--at=" + fleet.operatorAddress(0), "ravne"}) != 0);
+    CHECK(stateSays(fleet.operatorAddress(0), "\"ravne\":{\"changes\":0,\"out\":false}"));
+}
+
+TEST_CASE("a control host whose data folder was lost does not vote as the member it was")
+{
+    Fleet fleet(15, 1, 3);
+    REQUIRE(eventually(
+        [&]() {
+            return leaderOf(fleet, 3).has_value();
+        },
+        10s));
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(0), LibraryFile}) == 0);
+    fleet.control(2).signal(SIGKILL);
+    fleet.control(2).wait();
+    std::filesystem::remove_all(fleet.dataFolder(2));
+    fleet.startControl(2);
+    fleet.control(1).signal(SIGKILL);
+    fleet.control(1).wait();
+    // One voter is left of three; the empty disk is none.
+    std::this_thread::sleep_for(4s);
+    CHECK(!stateSays(fleet.operatorAddress(0), "\"role\":\"leader\""));
+    CHECK(!stateSays(fleet.operatorAddress(2), "\"role\":\"leader\""));
+    fleet.startControl(1);
+    CHECK(eventually(
+        [&]() {
+            return leaderOf(fleet, 3).has_value();
+        },
+        10s));
+    CHECK(stateSays(fleet.operatorAddress(0), "\"version\":1"));
+}
--- a/tests/processes/harness.cpp
+++ b/tests/processes/harness.cpp
@@ -88,16 +88,22 @@
     return m_pid;
 }
 
-Fleet::Fleet(unsigned net, unsigned entryHosts)
+Fleet::Fleet(unsigned net, unsigned entryHosts, unsigned controlHosts)
     : m_net(net)
     , m_folder(makeFolder())
 {
-    m_control.emplace_back(std::vector<std::string>{PIMENTOSHED_BINARY,
-                                                    "control",
-                                                    "--id=c1",
-                                                    "--operator-listen=" + operatorAddress(),
-                                                    fmt::format("--rpc-listen=127.{}.3.1:7002", m_net),
-                                                    "--data-folder=" + m_folder + "/c1"});
+    std::string members;
+    std::string addresses;
+    for (unsigned i = 0; i < controlHosts; ++i) {
+        members += fmt::format("{}c{}", i == 0 ? "" : ",", i);
+        addresses += (i == 0 ? "" : ",") + rpcAddress(i);
+        m_peers += fmt::format("{}c{}={}", i == 0 ? "" : ",", i, rpcAddress(i));
+    }
+    for (unsigned i = 0; i < controlHosts; ++i) {
+        run({"init", fmt::format("--id=c{}", i), "--data-folder=" + dataFolder(i), "--members=" + members});
+        m_control.emplace_back();
+        startControl(i);
+    }
     for (unsigned i = 0; i < entryHosts; ++i) {
         m_entries.emplace_back(std::vector<std::string>{PIMENTOSHED_BINARY,
                                                         "entry",
@@ -105,17 +111,35 @@
                                                         fmt::format("--failure-domain={}", Domains[i % 3]),
                                                         "--listen=" + callerAddress(i),
                                                         "--platform-listen=" + platformAddress(i),
-                                                        fmt::format("--control=127.{}.3.1:7002", m_net)});
+                                                        "--control=" + addresses});
     }
-    if (!eventually(
-            [this]() {
-                return core::ok(ask(operatorAddress(), "/pimentoshed/v1/state"));
-            },
-            std::chrono::seconds(10))) {
-        throw std::runtime_error("the control host does not start");
+    for (unsigned i = 0; i < controlHosts; ++i) {
+        if (!eventually(
+                [this, i]() {
+                    return core::ok(ask(operatorAddress(i), "/pimentoshed/v1/state"));
+                },
+                std::chrono::seconds(10))) {
+            throw std::runtime_error("a control host does not start");
+        }
     }
 }
 
+void Fleet::startControl(unsigned control)
+{
+    m_control.at(control) = Process({PIMENTOSHED_BINARY,
+                                     "control",
+                                     fmt::format("--id=c{}", control),
+                                     "--operator-listen=" + operatorAddress(control),
+                                     "--rpc-listen=" + rpcAddress(control),
+                                     "--data-folder=" + dataFolder(control),
+                                     "--peers=" + m_peers});
+}
+
+std::string Fleet::dataFolder(unsigned control) const
+{
+    return fmt::format("{}/c{}", m_folder, control);
+}
+
 Fleet::~Fleet()
 {
     m_targets.clear();
@@ -177,9 +201,14 @@
     return true;
 }
 
-std::string Fleet::operatorAddress() const
+std::string Fleet::operatorAddress(unsigned control) const
+{
+    return fmt::format("127.{}.3.{}:7001", m_net, control + 1);
+}
+
+std::string Fleet::rpcAddress(unsigned control) const
 {
-    return fmt::format("127.{}.3.1:7001", m_net);
+    return fmt::format("127.{}.3.{}:7002", m_net, control + 1);
 }
 
 std::string Fleet::callerAddress(unsigned entry) const
@@ -197,9 +226,9 @@
     return m_entries.at(number);
 }
 
-Process &Fleet::control()
+Process &Fleet::control(unsigned number)
 {
-    return m_control.front();
+    return m_control.at(number);
 }
 
 Process &Fleet::target(unsigned number)
--- a/tests/processes/harness.h
+++ b/tests/processes/harness.h
@@ -19,6 +19,7 @@
 class Process
 {
 public:
+    Process() = default;
     explicit Process(const std::vector<std::string> &command);
     ~Process();
     Process(Process &&other) noexcept;
@@ -35,12 +36,12 @@
     pid_t m_pid = -1;
 };
 
-/** One control host, entry hosts in the library's three failure domains and targets, on 127.0.0.0/8. */
+/** Control hosts, entry hosts in the library's three failure domains and targets, on 127.0.0.0/8. */
 class Fleet
 {
 public:
     /** @p net tells the fleets of one test run apart: addresses are 127.net.x.y. */
-    Fleet(unsigned net, unsigned entryHosts);
+    Fleet(unsigned net, unsigned entryHosts, unsigned controlHosts = 1);
     ~Fleet();
 
     /** Adds @p count targets of @p service, spread over the failure domains; more flags go to each of them. */
@@ -52,11 +53,15 @@
     /** Whether every entry host is current and knows @p targets targets in service, within ten seconds. */
     bool settles(unsigned targets) const;
 
-    std::string operatorAddress() const;
+    std::string operatorAddress(unsigned control = 0) const;
+    std::string rpcAddress(unsigned control) const;
+    /** Starts the control host again, on what is in its data folder. */
+    void startControl(unsigned control);
+    std::string dataFolder(unsigned control) const;
     std::string callerAddress(unsigned entry) const;
     std::string platformAddress(unsigned entry) const;
     Process &entry(unsigned number);
-    Process &control();
+    Process &control(unsigned number = 0);
     Process &target(unsigned number);
 
 private:
@@ -65,6 +70,7 @@
     std::vector<Process> m_entries;
     std::vector<Process> m_targets;
     std::vector<Process> m_control;
+    std::string m_peers;
 };
 
 /** Whether @p condition comes true before @p limit has passed; asked every 20 ms. */
--- a/tests/targets/targettable.cpp
+++ b/tests/targets/targettable.cpp
@@ -46,3 +46,39 @@
     CHECK(table.expire(Start + 2s).size() == 1);
     CHECK(table.ofService(core::ServiceName("loans")).empty());
 }
+
+TEST_CASE("a target whose lease ended comes back with the same word of its own")
+{
+    TargetTable table;
+    table.announce(makeTarget(1, 0, Condition::Warm), Start + 1s);
+    table.expire(Start + 1s);
+    CHECK(table.announce(makeTarget(1, 0, Condition::Warm), Start + 3s) == Reception::Changed);
+    CHECK(table.find(core::TargetId("t1"))->condition == Condition::Warm);
+}
+
+TEST_CASE("a host that keeps the lease overrules another that let it end")
+{
+    TargetTable first;
+    TargetTable second;
+    first.announce(makeTarget(1, 0, Condition::Warm), Start + 1s);
+    second.announce(makeTarget(1, 0, Condition::Warm), Start + 5s);
+    const auto ended = first.expire(Start + 1s).front();
+    CHECK(second.learn(ended) == Reception::Reasserted);
+    const auto word = *second.find(core::TargetId("t1"));
+    CHECK(word.condition == Condition::Warm);
+    CHECK(first.learn(word) == Reception::Changed);
+    CHECK(first.expire(Start + 4s).empty());
+}
+
+TEST_CASE("a lease moves with the target and has one keeper")
+{
+    TargetTable first;
+    TargetTable second;
+    first.announce(makeTarget(1, 0, Condition::Warm), Start + 1s);
+    second.learn(*first.find(core::TargetId("t1")));
+    second.announce(makeTarget(1, 0, Condition::Warm), Start + 5s);
+    CHECK(first.learn(*second.find(core::TargetId("t1"))) == Reception::Changed);
+    CHECK(second.learn(makeTarget(1, 0, Condition::Warm)) == Reception::Stale);
+    CHECK(first.expire(Start + 2s).empty());
+    CHECK(second.expire(Start + 5s).size() == 1);
+}
