Elect, replicate, confirm reads and change members in the replicated log

Ruled out: swapping a member in one step, since majorities of {A,B,C} and {D,B,C} need not share a voter; a change is a sequence of log entries that add or remove one voter each. An acknowledgement counts from when its round began, so a leader that thaws does not take old replies for new contact.

--- a/src/consensus/effects.h
+++ b/src/consensus/effects.h
@@ -60,17 +60,18 @@
 };
 
 /**
- * One batch. The host syncs in the order of the fields hardState, snapshot, truncateFrom, entries, then calls
- * Replica::persisted() with @c batch. Batches are synced in the order of their numbers.
+ * One batch. The host syncs in the order of the fields hardState, truncateFrom, snapshot, entries, then calls
+ * Replica::persisted() with @c batch; a batch with nothing to sync needs no call. Batches are synced in the order of
+ * their numbers.
  */
 struct Effects {
     BatchNumber batch;
 
     std::optional<HardState> hardState;
-    /** To store; afterwards the log's entries up to its index are not needed. */
-    std::optional<Snapshot> snapshot;
     /** Entries from here on are to be removed, before @c entries are appended. */
     std::optional<LogIndex> truncateFrom;
+    /** To store; afterwards the log's entries up to its index are not needed. */
+    std::optional<Snapshot> snapshot;
     /** Consecutive. */
     std::vector<Entry> entries;
 
--- /dev/null
+++ b/src/consensus/election.cpp
@@ -0,0 +1,150 @@
+/**
+ * @file
+ * Elections: pre-votes, votes, terms.
+ */
+#include "consensus/engine.h"
+
+namespace pimentoshed::consensus
+{
+
+void Engine::campaign(core::TimePoint now)
+{
+    resetElectionDeadline(now);
+    if (!m_log.members().isVoter(m_self)) {
+        return;
+    }
+    setRole(Role::PreCandidate, std::nullopt);
+    m_votes = {m_self};
+    for (const auto &voter : m_log.members().voters) {
+        if (voter != m_self) {
+            send(voter, PreVoteRequest{m_hardState.term.next(), m_log.last()}, false);
+        }
+    }
+    countVotes(now);
+}
+
+void Engine::startVote(core::TimePoint now)
+{
+    resetElectionDeadline(now);
+    setTerm(m_hardState.term.next(), m_self);
+    setRole(Role::Candidate, std::nullopt);
+    m_votes.clear();
+    for (const auto &voter : m_log.members().voters) {
+        if (voter != m_self) {
+            send(voter, VoteRequest{m_hardState.term, m_log.last()}, true);
+        }
+    }
+}
+
+void Engine::countOwnVote(core::TimePoint now)
+{
+    if (m_outbox.durableState() == m_hardState) {
+        m_votes.insert(m_self);
+        countVotes(now);
+    }
+}
+
+void Engine::countVotes(core::TimePoint now)
+{
+    if (m_votes.size() < m_log.members().quorum()) {
+        return;
+    }
+    if (m_role == Role::PreCandidate) {
+        startVote(now);
+    } else if (m_role == Role::Candidate) {
+        becomeLeader(now);
+    }
+}
+
+void Engine::handle(const MemberId &from, const PreVoteRequest &request, core::TimePoint now)
+{
+    const bool granted = request.term > m_hardState.term && m_log.isCoveredBy(request.last) && !hearsLeader(now);
+    send(from, PreVoteReply{m_hardState.term, request.term, granted}, true);
+}
+
+void Engine::handle(const MemberId &from, const PreVoteReply &reply, core::TimePoint now)
+{
+    if (reply.term > m_hardState.term) {
+        becomeFollower(reply.term, std::nullopt, now);
+        return;
+    }
+    const bool current = m_role == Role::PreCandidate && reply.asked == m_hardState.term.next();
+    if (current && reply.granted && m_log.members().isVoter(from)) {
+        m_votes.insert(from);
+        countVotes(now);
+    }
+}
+
+void Engine::handle(const MemberId &from, const VoteRequest &request, core::TimePoint now)
+{
+    if (request.term > m_hardState.term) {
+        if (hearsLeader(now)) {
+            return;
+        }
+        becomeFollower(request.term, std::nullopt, now);
+    }
+    const bool free = !m_hardState.votedFor || *m_hardState.votedFor == from;
+    const bool granted = request.term == m_hardState.term && free && m_log.isCoveredBy(request.last);
+    if (granted) {
+        if (!m_hardState.votedFor) {
+            setTerm(m_hardState.term, from);
+        }
+        resetElectionDeadline(now);
+    }
+    send(from, VoteReply{m_hardState.term, granted}, true);
+}
+
+void Engine::handle(const MemberId &from, const VoteReply &reply, core::TimePoint now)
+{
+    if (reply.term > m_hardState.term) {
+        becomeFollower(reply.term, std::nullopt, now);
+        return;
+    }
+    const bool current = m_role == Role::Candidate && reply.term == m_hardState.term;
+    if (current && reply.granted && m_log.members().isVoter(from)) {
+        m_votes.insert(from);
+        countVotes(now);
+    }
+}
+
+bool Engine::hearsLeader(core::TimePoint now) const
+{
+    return m_role == Role::Leader || (m_leader && now - m_leaderHeard < m_timing.electionTimeout);
+}
+
+void Engine::resetElectionDeadline(core::TimePoint now)
+{
+    const auto spread = static_cast<std::size_t>(m_timing.electionTimeout.count());
+    m_electionDeadline = now + m_timing.electionTimeout + core::Duration(core::below(m_random, spread));
+}
+
+void Engine::becomeFollower(Term term, const std::optional<MemberId> &leader, core::TimePoint now)
+{
+    if (term > m_hardState.term) {
+        setTerm(term, std::nullopt);
+    }
+    if (m_role == Role::Leader) {
+        failReads(core::ErrorCode::NoQuorum);
+        m_progress = Progress();
+        resetElectionDeadline(now);
+    }
+    m_votes.clear();
+    setRole(Role::Follower, leader);
+}
+
+void Engine::setTerm(Term term, const std::optional<MemberId> &votedFor)
+{
+    m_hardState = {term, votedFor};
+    m_outbox.store(m_hardState);
+}
+
+void Engine::setRole(Role role, const std::optional<MemberId> &leader)
+{
+    if (m_role != role || m_leader != leader) {
+        m_outbox.note({role, m_hardState.term, leader});
+    }
+    m_role = role;
+    m_leader = leader;
+}
+
+} // namespace pimentoshed::consensus
--- /dev/null
+++ b/src/consensus/engine.h
@@ -0,0 +1,112 @@
+/**
+ * @file
+ * The workings of a replica.
+ */
+#pragma once
+
+#include "consensus/log.h"
+#include "consensus/outbox.h"
+#include "consensus/progress.h"
+#include "consensus/readqueue.h"
+#include "consensus/replica.h"
+
+#include <set>
+#include <string>
+#include <utility>
+
+namespace pimentoshed::consensus
+{
+
+/** Holds a replica's state; its parts are in election.cpp, leading.cpp and following.cpp. Not thread-safe. */
+class Engine
+{
+public:
+    Engine(const Replica::Builder &builder, Log log, core::TimePoint now);
+
+    void tick(core::TimePoint now);
+    void receive(const Message &message, core::TimePoint now);
+    core::Result<EntryId> propose(std::string payload, core::TimePoint now);
+    core::Status confirmCurrent(ReadToken token, core::TimePoint now);
+    core::Result<EntryId> changeMembers(const MembersChange &change, core::TimePoint now);
+    void persisted(BatchNumber batch, core::TimePoint now);
+    void storageFailed();
+    core::Status compact(LogIndex index, std::string payload);
+    Effects takeEffects();
+    Inspection inspect() const;
+
+private:
+    // Elections: election.cpp
+    void campaign(core::TimePoint now);
+    void startVote(core::TimePoint now);
+    void countOwnVote(core::TimePoint now);
+    void countVotes(core::TimePoint now);
+    void handle(const MemberId &from, const PreVoteRequest &request, core::TimePoint now);
+    void handle(const MemberId &from, const PreVoteReply &reply, core::TimePoint now);
+    void handle(const MemberId &from, const VoteRequest &request, core::TimePoint now);
+    void handle(const MemberId &from, const VoteReply &reply, core::TimePoint now);
+    bool hearsLeader(core::TimePoint now) const;
+    void resetElectionDeadline(core::TimePoint now);
+    void becomeFollower(Term term, const std::optional<MemberId> &leader, core::TimePoint now);
+    void setTerm(Term term, const std::optional<MemberId> &votedFor);
+    void setRole(Role role, const std::optional<MemberId> &leader);
+
+    // Leading: leading.cpp
+    void becomeLeader(core::TimePoint now);
+    void checkQuorum(core::TimePoint now);
+    core::Status checkLeading(core::TimePoint now);
+    EntryId appendOwn(Entry entry, core::TimePoint now);
+    void beginRound(core::TimePoint now);
+    void replicate(const MemberId &member, Peer &peer, core::TimePoint now);
+    void sendAppend(const MemberId &member, Peer &peer);
+    void sendSnapshot(const MemberId &member, Peer &peer, core::TimePoint now);
+    void sendHeartbeat(const MemberId &member, Peer &peer, core::TimePoint now);
+    void announceCommit();
+    void handle(const MemberId &from, const AppendReply &reply, core::TimePoint now);
+    void handle(const MemberId &from, const InstallSnapshotReply &reply, core::TimePoint now);
+    void acknowledged(const MemberId &from, Round round, LogIndex match, core::TimePoint now);
+    void resolve(const MemberId &from, Peer &peer, const Conflict &conflict, core::TimePoint now);
+    void advanceLeaderCommit(core::TimePoint now);
+    void confirmReads(core::TimePoint now);
+    void failReads(core::ErrorCode code);
+    void continueMembersChange(core::TimePoint now);
+    bool termCommitted() const;
+
+    // Following: following.cpp
+    void handle(const MemberId &from, const AppendRequest &request, core::TimePoint now);
+    void handle(const MemberId &from, const InstallSnapshotRequest &request, core::TimePoint now);
+    bool acceptLeader(const MemberId &from, Term term, core::TimePoint now);
+    bool store(const AppendRequest &request);
+    void commitUpTo(LogIndex index);
+
+    bool stopped() const
+    {
+        return m_role == Role::Stopped;
+    }
+    void send(const MemberId &to, MessageBody body, bool afterSync);
+    OwnProgress own(core::TimePoint now) const;
+
+    const MemberId m_self;
+    const Timing m_timing;
+    const Limits m_limits;
+    const core::RandomSource m_random;
+
+    HardState m_hardState;
+    Log m_log;
+    Outbox m_outbox;
+    Role m_role = Role::Follower;
+    std::optional<MemberId> m_leader;
+    LogIndex m_commit;
+    core::TimePoint m_electionDeadline;
+    core::TimePoint m_leaderHeard;
+    /** Who granted the present pre-vote or vote. */
+    std::set<MemberId> m_votes;
+
+    // Only while leading.
+    Progress m_progress;
+    ReadQueue m_reads;
+    /** The entry that began the term. */
+    LogIndex m_termStart;
+    core::TimePoint m_nextHeartbeat;
+};
+
+} // namespace pimentoshed::consensus
--- /dev/null
+++ b/src/consensus/replica.cpp
@@ -0,0 +1,173 @@
+#include "consensus/replica.h"
+
+#include "consensus/engine.h"
+
+#include <utility>
+
+namespace pimentoshed::consensus
+{
+
+namespace
+{
+
+core::Status checkSettings(const MemberId &self, const Timing &timing, const Limits &limits, bool random)
+{
+    const auto invalid = [](const char *detail) {
+        return core::Error{core::ErrorCode::SettingInvalid, detail};
+    };
+    if (self.host.empty() || self.disk.empty()) {
+        return invalid("a member needs a host and a disk id");
+    }
+    if (timing.heartbeatInterval.count() <= 0 || timing.electionTimeout < 2 * timing.heartbeatInterval) {
+        return invalid("the election timeout must be at least twice the heartbeat interval");
+    }
+    if (limits.entriesPerAppend == 0 || limits.entriesInFlight == 0) {
+        return invalid("appends must have room for an entry");
+    }
+    if (!random) {
+        return invalid("no random source");
+    }
+    return {};
+}
+
+core::Result<Log> restoreLog(Snapshot snapshot, const std::vector<Entry> &entries, Term term)
+{
+    Log log(std::move(snapshot));
+    for (const auto &entry : entries) {
+        if (entry.id.index <= log.snapshot().last.index) {
+            continue;
+        }
+        if (entry.id.index != log.last().index.next() || entry.id.term < log.last().term) {
+            return core::Error{core::ErrorCode::JournalDamaged,
+                               "entry out of order: " + std::to_string(entry.id.index.value())};
+        }
+        log.append(entry);
+    }
+    if (log.last().term > term) {
+        return core::Error{core::ErrorCode::JournalDamaged, "an entry is newer than the stored term"};
+    }
+    return log;
+}
+
+} // namespace
+
+Replica::Builder &Replica::Builder::self(MemberId self)
+{
+    m_self = std::move(self);
+    return *this;
+}
+
+Replica::Builder &Replica::Builder::initialMembers(Members members)
+{
+    m_members = std::move(members);
+    return *this;
+}
+
+Replica::Builder &Replica::Builder::hardState(HardState state)
+{
+    m_hardState = std::move(state);
+    return *this;
+}
+
+Replica::Builder &Replica::Builder::snapshot(Snapshot snapshot)
+{
+    m_snapshot = std::move(snapshot);
+    return *this;
+}
+
+Replica::Builder &Replica::Builder::entries(std::vector<Entry> entries)
+{
+    m_entries = std::move(entries);
+    return *this;
+}
+
+Replica::Builder &Replica::Builder::timing(Timing timing)
+{
+    m_timing = timing;
+    return *this;
+}
+
+Replica::Builder &Replica::Builder::limits(Limits limits)
+{
+    m_limits = limits;
+    return *this;
+}
+
+Replica::Builder &Replica::Builder::random(core::RandomSource random)
+{
+    m_random = std::move(random);
+    return *this;
+}
+
+core::Result<Replica> Replica::Builder::build(core::TimePoint now) const
+{
+    if (auto status = checkSettings(m_self, m_timing, m_limits, m_random != nullptr); !core::ok(status)) {
+        return core::error(status);
+    }
+    auto log = restoreLog(m_snapshot.value_or(Snapshot{{}, m_members, {}}), m_entries, m_hardState.term);
+    if (!core::ok(log)) {
+        return core::error(log);
+    }
+    return Replica(std::make_unique<Engine>(*this, std::move(core::value(log)), now));
+}
+
+Replica::Replica(std::unique_ptr<Engine> engine)
+    : m_engine(std::move(engine))
+{
+}
+
+Replica::~Replica() = default;
+Replica::Replica(Replica &&) noexcept = default;
+Replica &Replica::operator=(Replica &&) noexcept = default;
+
+void Replica::tick(core::TimePoint now)
+{
+    m_engine->tick(now);
+}
+
+void Replica::receive(const Message &message, core::TimePoint now)
+{
+    m_engine->receive(message, now);
+}
+
+core::Result<EntryId> Replica::propose(std::string payload, core::TimePoint now)
+{
+    return m_engine->propose(std::move(payload), now);
+}
+
+core::Status Replica::confirmCurrent(ReadToken token, core::TimePoint now)
+{
+    return m_engine->confirmCurrent(token, now);
+}
+
+core::Result<EntryId> Replica::changeMembers(const MembersChange &change, core::TimePoint now)
+{
+    return m_engine->changeMembers(change, now);
+}
+
+void Replica::persisted(BatchNumber batch, core::TimePoint now)
+{
+    m_engine->persisted(batch, now);
+}
+
+void Replica::storageFailed()
+{
+    m_engine->storageFailed();
+}
+
+core::Status Replica::compact(LogIndex index, std::string payload)
+{
+    return m_engine->compact(index, std::move(payload));
+}
+
+Effects Replica::takeEffects()
+{
+    return m_engine->takeEffects();
+}
+
+Inspection Replica::inspect() const
+{
+    return m_engine->inspect();
+}
+
+} // namespace pimentoshed::consensus
