--- /dev/null
+++ b/tests/consensus/pool.h
@@ -0,0 +1,381 @@
+/**
+ * @file
+ * Replicas joined by an in-memory pool of messages, with faults and a checker of their history.
+ */
+#pragma once
+
+#include "consensus/replica.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pimentoshed::consensus::testing
+{
+
+using std::chrono::milliseconds;
+
+constexpr core::Duration Step = milliseconds(10);
+
+/** Chances in percent, delays in steps. */
+struct Weather {
+    unsigned lossPercent = 0;
+    unsigned duplicatePercent = 0;
+    unsigned maxDelay = 1;
+    unsigned maxSync = 1;
+};
+
+/** What a data folder holds durably. */
+struct Disk {
+    HardState hardState;
+    std::optional<Snapshot> snapshot;
+    std::vector<Entry> entries;
+
+    void write(const Effects &effects)
+    {
+        hardState = effects.hardState.value_or(hardState);
+        if (effects.truncateFrom) {
+            std::erase_if(entries, [&](const Entry &entry) {
+                return entry.id.index >= *effects.truncateFrom;
+            });
+        }
+        snapshot = effects.snapshot ? effects.snapshot : snapshot;
+        entries.insert(entries.end(), effects.entries.begin(), effects.entries.end());
+        std::erase_if(entries, [&](const Entry &entry) {
+            return snapshot && entry.id.index <= snapshot->last.index;
+        });
+    }
+};
+
+struct Request {
+    core::TimePoint begun;
+    /** The newest index acknowledged to anyone before this request. */
+    LogIndex floor;
+    std::string payload;
+};
+
+struct Host {
+    MemberId id;
+    Disk disk;
+    std::optional<Replica> replica;
+    std::deque<std::pair<core::TimePoint, Effects>> syncing;
+    std::vector<Message> inbox;
+    bool frozen = false;
+    bool isolated = false;
+    core::TimePoint isolatedSince;
+    std::string state;
+    LogIndex applied;
+    std::map<EntryId, Request> proposals;
+    std::map<ReadToken, Request> reads;
+    std::map<ReadToken, LogIndex> confirmed;
+};
+
+/** A group of hosts under one clock and one seed. Breaches of the rules are gathered in @c violations. */
+class Pool
+{
+public:
+    Pool(std::size_t size, std::uint64_t seed, Timing timing)
+        : m_random(core::seededRandom(seed))
+        , m_timing(timing)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            Host host;
+            host.id = {core::HostId(std::string(1, static_cast<char>('a' + i))), DiskId("1")};
+            initial.voters.push_back(host.id);
+            hosts.push_back(std::move(host));
+        }
+        for (auto &host : hosts) {
+            start(host);
+        }
+    }
+
+    std::size_t below(std::size_t bound)
+    {
+        return core::below(m_random, bound);
+    }
+
+    void start(Host &host)
+    {
+        Replica::Builder builder;
+        builder.self(host.id).hardState(host.disk.hardState).entries(host.disk.entries).timing(m_timing);
+        builder.limits({4, 1024, 16}).random(core::seededRandom(m_random()));
+        if (host.id.disk == DiskId("1")) {
+            builder.initialMembers(initial);
+        }
+        host.state.clear();
+        host.applied = LogIndex();
+        if (host.disk.snapshot) {
+            builder.snapshot(*host.disk.snapshot);
+            host.state = host.disk.snapshot->payload;
+            host.applied = host.disk.snapshot->last.index;
+        }
+        auto built = builder.build(now);
+        if (core::ok(built)) {
+            host.replica.emplace(std::move(core::value(built)));
+        } else {
+            violations.push_back(core::describe(core::error(built)));
+        }
+    }
+
+    /** kill -9: of what was being synced, some may have reached the disk without being reported. */
+    void kill(Host &host)
+    {
+        if (!host.syncing.empty() && below(2) == 0) {
+            host.disk.write(host.syncing.front().second);
+        }
+        host.replica.reset();
+        host.syncing.clear();
+        host.inbox.clear();
+        host.proposals.clear();
+        host.reads.clear();
+    }
+
+    void loseDisk(Host &host)
+    {
+        kill(host);
+        host.disk = Disk();
+        host.id.disk = DiskId(std::to_string(++m_disks));
+    }
+
+    void isolate(Host &host, bool isolated)
+    {
+        host.isolated = isolated;
+        host.isolatedSince = now;
+    }
+
+    void run(core::Duration duration)
+    {
+        for (const auto end = now + duration; now < end;) {
+            step();
+        }
+    }
+
+    void step()
+    {
+        now += Step;
+        while (!m_messages.empty() && m_messages.begin()->first <= now) {
+            deliver(m_messages.begin()->second);
+            m_messages.erase(m_messages.begin());
+        }
+        for (auto &host : hosts) {
+            if (host.replica && !host.frozen) {
+                finishSyncs(host);
+                for (const auto &message : std::exchange(host.inbox, {})) {
+                    host.replica->receive(message, now);
+                    flush(host);
+                }
+                host.replica->tick(now);
+                flush(host);
+            }
+        }
+    }
+
+    /** The unique leader of the newest term, if one leads. */
+    Host *leader()
+    {
+        Host *found = nullptr;
+        Term term;
+        for (auto &host : hosts) {
+            if (host.replica && !host.frozen && host.replica->inspect().role == Role::Leader
+                && host.replica->inspect().term > term) {
+                found = &host;
+                term = host.replica->inspect().term;
+            }
+        }
+        return found;
+    }
+
+    bool propose(Host &host)
+    {
+        const auto payload = std::to_string(++m_requests);
+        const auto result = host.replica->propose(payload, now);
+        if (core::ok(result)) {
+            host.proposals[core::value(result)] = {now, LogIndex(), payload};
+        }
+        flush(host);
+        return core::ok(result);
+    }
+
+    bool read(Host &host)
+    {
+        const ReadToken token(++m_requests);
+        host.reads[token] = {now, m_acknowledgedIndex, {}};
+        const bool accepted = core::ok(host.replica->confirmCurrent(token, now));
+        if (!accepted) {
+            host.reads.erase(token);
+        }
+        flush(host);
+        return accepted;
+    }
+
+    void flush(Host &host)
+    {
+        auto effects = host.replica->takeEffects();
+        check(host, effects);
+        apply(host, effects);
+        const bool sync = effects.needsSync();
+        std::vector<Outgoing> later;
+        for (auto &outgoing : effects.messages) {
+            if (outgoing.afterSync && (sync || !host.syncing.empty())) {
+                later.push_back(std::move(outgoing));
+            } else {
+                send(outgoing.message);
+            }
+        }
+        effects.messages = std::move(later);
+        if (sync || !effects.messages.empty()) {
+            host.syncing.emplace_back(now + Step * below(weather.maxSync + 1), std::move(effects));
+        }
+    }
+
+    std::size_t elections() const
+    {
+        return m_leaders.size();
+    }
+
+    /** Whether every host that runs has applied the same state, which holds all that was acknowledged. */
+    void checkConverged()
+    {
+        for (const auto &host : hosts) {
+            if (!host.replica || host.state != hosts.front().state) {
+                violations.push_back("not converged: " + host.id.host.str());
+            }
+            for (const auto &payload : acknowledged) {
+                const auto at = host.state.find(" " + payload + ";");
+                if (at == std::string::npos || host.state.find(" " + payload + ";", at + 1) != std::string::npos) {
+                    violations.push_back("acknowledged, but not once at " + host.id.host.str() + ": " + payload);
+                }
+            }
+        }
+    }
+
+    std::vector<Host> hosts;
+    Members initial;
+    Weather weather;
+    core::TimePoint now;
+    std::set<std::string> acknowledged;
+    std::vector<std::string> violations;
+    std::size_t confirmedReads = 0;
+    std::size_t sent = 0;
+    /** The newest committed members. */
+    Members members;
+
+private:
+    void finishSyncs(Host &host)
+    {
+        while (!host.syncing.empty() && host.syncing.front().first <= now) {
+            const auto effects = std::move(host.syncing.front().second);
+            host.syncing.pop_front();
+            host.disk.write(effects);
+            for (const auto &outgoing : effects.messages) {
+                send(outgoing.message);
+            }
+            host.replica->persisted(effects.batch, now);
+            flush(host);
+        }
+    }
+
+    void send(const Message &message)
+    {
+        ++sent;
+        for (unsigned copies = below(100) < weather.duplicatePercent ? 2 : 1; copies > 0; --copies) {
+            if (below(100) >= weather.lossPercent) {
+                m_messages.emplace(now + Step * below(weather.maxDelay + 1), message);
+            }
+        }
+    }
+
+    void deliver(const Message &message)
+    {
+        Host *from = find(message.from.host);
+        Host *to = find(message.to.host);
+        if (from != nullptr && to != nullptr && !from->isolated && !to->isolated && to->replica) {
+            to->inbox.push_back(message);
+        }
+    }
+
+    Host *find(const core::HostId &id)
+    {
+        for (auto &host : hosts) {
+            if (host.id.host == id) {
+                return &host;
+            }
+        }
+        return nullptr;
+    }
+
+    void apply(Host &host, const Effects &effects)
+    {
+        if (effects.restore) {
+            host.state = effects.restore->payload;
+            host.applied = effects.restore->last.index;
+        }
+        for (const auto &entry : effects.committed) {
+            const auto known = m_committed.try_emplace(entry.id.index, entry).first;
+            if (!(known->second == entry) || entry.id.index != host.applied.next()) {
+                violations.push_back("another entry committed at " + std::to_string(entry.id.index.value()));
+            }
+            host.applied = entry.id.index;
+            host.state += entry.kind == EntryKind::Change ? " " + entry.payload + ";" : "";
+            if (entry.kind == EntryKind::Members && entry.id.index > m_membersIndex) {
+                m_membersIndex = entry.id.index;
+                members = entry.members;
+            }
+            acknowledge(host, entry);
+        }
+    }
+
+    void acknowledge(Host &host, const Entry &entry)
+    {
+        if (const auto found = host.proposals.find(entry.id); found != host.proposals.end()) {
+            checkReach(host, found->second);
+            acknowledged.insert(found->second.payload);
+            m_acknowledgedIndex = std::max(m_acknowledgedIndex, entry.id.index);
+            host.proposals.erase(found);
+        }
+    }
+
+    void check(Host &host, const Effects &effects)
+    {
+        for (const auto &change : effects.roleChanges) {
+            const bool leads = change.role == Role::Leader;
+            if (leads && m_leaders.try_emplace(change.term, host.id).first->second != host.id) {
+                violations.push_back("two leaders in term " + std::to_string(change.term.value()));
+            }
+        }
+        for (const auto &read : effects.confirmedReads) {
+            const auto &request = host.reads.at(read.token);
+            if (read.index < request.floor) {
+                violations.push_back("stale read confirmed at " + host.id.host.str());
+            }
+            checkReach(host, request);
+            host.reads.erase(read.token);
+            ++confirmedReads;
+        }
+        for (const auto &read : effects.failedReads) {
+            host.reads.erase(read.token);
+        }
+    }
+
+    void checkReach(const Host &host, const Request &request)
+    {
+        if (host.isolated && request.begun >= host.isolatedSince) {
+            violations.push_back("answered while isolated: " + host.id.host.str());
+        }
+    }
+
+    core::RandomSource m_random;
+    Timing m_timing;
+    std::multimap<core::TimePoint, Message> m_messages;
+    std::map<LogIndex, Entry> m_committed;
+    std::map<Term, MemberId> m_leaders;
+    LogIndex m_acknowledgedIndex;
+    LogIndex m_membersIndex;
+    std::uint64_t m_requests = 0;
+    unsigned m_disks = 1;
+};
+
+} // namespace pimentoshed::consensus::testing
