Let a candidate that lost try again sooner

Cause: a split vote waited for a whole election timeout again, which made the worst times without a leader. Ruled out: a shorter election timeout, which would need more heartbeats at rest.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -9,7 +9,7 @@
 
 void Engine::campaign(core::TimePoint now)
 {
-    resetElectionDeadline(now);
+    m_electionDeadline = now + randomised(m_timing.campaignTimeout);
     if (!m_log.members().isVoter(m_self)) {
         return;
     }
@@ -25,7 +25,7 @@
 
 void Engine::startVote(core::TimePoint now)
 {
-    resetElectionDeadline(now);
+    m_electionDeadline = now + randomised(m_timing.campaignTimeout);
     setTerm(m_hardState.term.next(), m_self);
     setRole(Role::Candidate, std::nullopt);
     m_votes.clear();
@@ -114,8 +114,13 @@
 
 void Engine::resetElectionDeadline(core::TimePoint now)
 {
-    const auto spread = static_cast<std::size_t>(m_timing.electionTimeout.count());
-    m_electionDeadline = now + m_timing.electionTimeout + core::Duration(core::below(m_random, spread));
+    m_electionDeadline = now + randomised(m_timing.electionTimeout);
+}
+
+/** One to two times @p timeout. */
+core::Duration Engine::randomised(core::Duration timeout) const
+{
+    return timeout + core::Duration(core::below(m_random, static_cast<std::size_t>(timeout.count())));
 }
 
 void Engine::becomeFollower(Term term, const std::optional<MemberId> &leader, core::TimePoint now)
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -21,6 +21,9 @@
     if (timing.heartbeatInterval.count() <= 0 || timing.electionTimeout < 2 * timing.heartbeatInterval) {
         return invalid("the election timeout must be at least twice the heartbeat interval");
     }
+    if (timing.campaignTimeout.count() <= 0) {
+        return invalid("the campaign timeout must be positive");
+    }
     if (limits.entriesPerAppend == 0 || limits.entriesInFlight == 0) {
         return invalid("appends must have room for an entry");
     }
--- a/tests/consensus/schedule.cpp
+++ b/tests/consensus/schedule.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::uint64_t FirstSeed = 1;
 constexpr std::uint64_t LastSeed = 400;
-constexpr Timing Quick{milliseconds(50), milliseconds(200), milliseconds(500)};
+constexpr Timing Quick{milliseconds(50), milliseconds(200), milliseconds(100), milliseconds(500)};
 constexpr core::Duration Stormy = std::chrono::seconds(12);
 constexpr core::Duration Calm = std::chrono::seconds(6);
 
