--- a/tests/consensus/pool.h
+++ b/tests/consensus/pool.h
@@ -65,6 +65,8 @@
     std::vector<Message> inbox;
     bool frozen = false;
     bool isolated = false;
+    /** Its syncs take this many times as long. */
+    unsigned slowness = 1;
     core::TimePoint isolatedSince;
     std::string state;
     LogIndex applied;
@@ -227,7 +229,7 @@
         }
         effects.messages = std::move(later);
         if (sync || !effects.messages.empty()) {
-            host.syncing.emplace_back(now + Step * below(weather.maxSync + 1), std::move(effects));
+            host.syncing.emplace_back(now + Step * below(weather.maxSync * host.slowness + 1), std::move(effects));
         }
     }
 
--- a/tests/consensus/schedule.cpp
+++ b/tests/consensus/schedule.cpp
@@ -85,7 +85,7 @@
     void fault()
     {
         auto &host = any();
-        switch (m_pool.below(7)) {
+        switch (m_pool.below(9)) {
         case 0:
             host.frozen = !host.frozen;
             break;
@@ -96,21 +96,42 @@
             m_pool.kill(host);
             break;
         case 3:
-            if (auto *leader = m_pool.leader()) {
-                m_pool.below(2) == 0 ? m_pool.isolate(*leader, true) : m_pool.kill(*leader);
-            }
-            break;
         case 4:
+            loseLeader(host);
+            break;
+        case 5:
             loseDisk(host);
             break;
+        case 6:
+            host.slowness = host.slowness == 1 ? 30 : 1;
+            break;
         default:
             mend(host);
         }
     }
 
+    /** The leader goes, or restarts at once, while @p other is cut off. */
+    void loseLeader(Host &other)
+    {
+        auto *leader = m_pool.leader();
+        if (leader == nullptr) {
+            return;
+        }
+        if (m_pool.below(3) == 0) {
+            m_pool.isolate(*leader, true);
+            return;
+        }
+        m_pool.kill(*leader);
+        if (m_pool.below(2) == 0) {
+            m_pool.start(*leader);
+            m_pool.isolate(other, true);
+        }
+    }
+
     void mend(Host &host)
     {
         host.frozen = false;
+        host.slowness = 1;
         m_pool.isolate(host, false);
         if (!host.replica) {
             m_pool.start(host);
