Read the operator's file by a table of its keys

Cause: the thin parser took wrong types, unknown keys and missing names in silence, and crashed on `service.s = 1` (a null table). Each key is now a row (place, type, unit, default, bounds, rule for strings); one reader goes over the rows, and rules between keys stand apart.

--- /dev/null
+++ b/src/configuration/bindings.h
@@ -0,0 +1,35 @@
+/**
+ * @file
+ * Where the value of each key goes in the model.
+ */
+#pragma once
+
+#include "configuration/keys.h"
+#include "configuration/model.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pimentoshed::configuration
+{
+
+/** A value of a type that its key takes, within its bounds. */
+using Value = std::variant<std::int64_t, double, bool, std::string, std::vector<std::string>>;
+
+/** Stores the value of one key. */
+using Store = std::function<void(Key, const Value &)>;
+
+/** The default of @p row, which must not be required. */
+Value defaultOf(const KeyRow &row);
+
+/** A store into @p configuration for the keys of Section::File. */
+Store storeInto(Configuration &configuration);
+Store storeInto(Limits &limits);
+Store storeInto(Institution &institution);
+Store storeInto(ControlHost &host);
+Store storeInto(Service &service);
+
+} // namespace pimentoshed::configuration
--- a/src/configuration/model.h
+++ b/src/configuration/model.h
@@ -80,6 +80,8 @@
     unsigned addressCount = 3;
     /** How long the system remembers that a request key was used. */
     core::Duration requestKeyRetention = std::chrono::hours(24);
+    /** Request keys remembered at once, shared between institutions by weight. */
+    std::uint64_t requestKeyCapacity = 200000;
 
     bool operator==(const Limits &) const = default;
 };
