--- /dev/null
+++ b/src/claims/policy.cpp
@@ -0,0 +1,27 @@
+#include "claims/policy.h"
+
+#include <algorithm>
+
+namespace pimentoshed::claims
+{
+
+Policy policyOf(const configuration::Configuration &configuration)
+{
+    Policy policy;
+    policy.retention = configuration.limits.requestKeyRetention;
+    std::uint64_t weights = 0;
+    for (const auto &institution : configuration.institutions) {
+        weights += institution.weight;
+    }
+    const auto whole = std::max<std::uint64_t>(weights, 1);
+    for (const auto &institution : configuration.institutions) {
+        const auto share = configuration.limits.requestKeyCapacity * institution.weight / whole;
+        policy.shares.emplace(institution.name, std::max<std::uint64_t>(share, 1));
+    }
+    for (const auto &service : configuration.services) {
+        policy.institutions.emplace(service.name, service.institution);
+    }
+    return policy;
+}
+
+} // namespace pimentoshed::claims
--- a/src/configuration/syntax.cpp
+++ b/src/configuration/syntax.cpp
@@ -16,6 +16,8 @@
 constexpr auto MaxDotsPerLine = 128;
 /** Syntax errors reported in one run. */
 constexpr std::size_t MaxSyntaxMistakes = 20;
+/** Lines that are searched for what was left open. */
+constexpr std::size_t MaxLookBack = 100;
 
 using Lines = std::vector<std::string>;
 
@@ -102,7 +104,8 @@
 /** The nearest line before @p index that is no statement by itself: perhaps what was left open. */
 std::optional<std::size_t> findOpener(const Lines &lines, std::size_t index)
 {
-    for (auto i = index; i > 0; --i) {
+    const auto first = index - std::min(index, MaxLookBack);
+    for (auto i = index; i > first; --i) {
         if (lines[i - 1].find('=') != std::string::npos && attempt(lines[i - 1]).mistake) {
             return i - 1;
         }
--- a/tests/changes/ledger.cpp
+++ b/tests/changes/ledger.cpp
@@ -203,6 +203,20 @@
     CHECK(codeOf(ledger.apply(file("b", 0))) == core::ErrorCode::VersionConflict);
 }
 
+TEST_CASE("the refusal of a file lists its mistakes, up to a bound")
+{
+    Ledger ledger;
+    const auto two = ledger.apply(ApplyFile{core::ChangeId("a"), "replaces = -1\nzones = 1\n"});
+    CHECK(codeOf(two) == core::ErrorCode::ConfigMissingKey);
+    CHECK_THAT(core::error(two).detail, Catch::Matchers::Contains("replaces") && Catch::Matchers::Contains("zones"));
+    std::string many;
+    for (int i = 0; i < 1000; ++i) {
+        many += fmt::format("key-{} = 1\n", i);
+    }
+    constexpr std::size_t Bound = 4096;
+    CHECK(core::error(ledger.apply(ApplyFile{core::ChangeId("b"), many})).detail.size() == Bound);
+}
+
 TEST_CASE("every accepted change has its own revision")
 {
     Ledger ledger;
