Route by exact counts and hold stragglers to one trial

Cause: the thin router knew only finished requests and asked every target of a service anew for each request, with copies of its strings; a straggler or a target that fails fast kept its share. Ruled out: judging a target by its finished attempts only; steering by reported load, which at 17 hosts is older than the requests it tells of; a hold without bound on the number of targets held. Conclusion: the entry host follows each new word of a target through a hook of the target table. Cold targets still get the service's cold slots from each host until ownership comes.

--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -54,6 +54,21 @@
     return refusal({RunState::NotRun, core::Error{code, std::move(detail)}});
 }
 
+routing::AttemptOutcome attemptOutcome(const requests::Outcome &outcome)
+{
+    if (!outcome.failure) {
+        return routing::AttemptOutcome::Answered;
+    }
+    switch (outcome.failure->code) {
+    case ErrorCode::TargetFailed:
+    case ErrorCode::AnswerTruncated:
+    case ErrorCode::DeadlinePassed:
+        return routing::AttemptOutcome::Failed;
+    default:
+        return routing::AttemptOutcome::Cancelled;
+    }
+}
+
 /** Serves one entry host's callers. */
 class Front
 {
@@ -100,8 +115,8 @@
             exchange.send(notRun(ErrorCode::RequestKeyMissing, service->requestKeyHeader));
             return;
         }
-        const auto assignment =
-            m_parts.router.assign(*service, m_parts.targets.ofService(service->name), outDomains(standing));
+        followStanding(standing);
+        const auto assignment = m_parts.router.assign(service->name, m_parts.timers.now());
         if (!core::ok(assignment)) {
             exchange.send(refusal({RunState::NotRun, core::error(assignment)}));
             return;
@@ -109,23 +124,35 @@
         pass(exchange, *service, core::value(assignment));
     }
 
+    void followStanding(const changes::Standing &standing) const
+    {
+        m_parts.router.setOutDomains(outDomains(standing));
+        if (m_parts.router.configure(standing.configuration)) {
+            for (const auto &target : m_parts.targets.all()) {
+                m_parts.router.update(target);
+            }
+        }
+    }
+
     void pass(http::Exchange &exchange,
               const configuration::Service &service,
               const routing::Assignment &assignment) const
     {
         http::RelayTerms terms;
-        terms.address = assignment.address;
-        terms.deadline = m_parts.timers.now() + service.deadline;
+        const auto started = m_parts.timers.now();
+        terms.address = assignment.target->address;
+        terms.deadline = started + service.deadline;
         terms.maxRequestBytes = service.maxRequestBytes;
         terms.shedIsNotRun = service.shedIsNotRun;
         const auto result = http::relay(exchange, m_parts.connections, terms);
-        m_parts.router.release(assignment.target);
+        const auto ended = m_parts.timers.now();
+        m_parts.router.release(assignment, {attemptOutcome(result.outcome), ended - started, std::nullopt}, ended);
         if (!result.outcome.failure) {
             return;
         }
         core::log(core::LogLevel::Info,
                   "attempt-failed",
-                  {{"target", assignment.target.str()}, {"error", describe(*result.outcome.failure)}});
+                  {{"target", assignment.target->id.str()}, {"error", describe(*result.outcome.failure)}});
         if (!result.answered) {
             exchange.send(refusal(result.outcome));
         }
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -45,7 +45,10 @@
     explicit Impl(const EntrySettings &settings)
         : m_settings(settings)
         , m_incarnation(makeIncarnation())
-        , m_router(routing::makePicker(settings.picker), settings.domain, threadRandom())
+        , m_router(settings.domain, {routing::makePicker(settings.picker), nullptr, threadRandom()})
+        , m_targets([this](const auto &target) {
+            m_router.update(target);
+        })
         , m_pool(settings.workers)
         , m_timers(m_pool.context())
         , m_connections(m_pool.context())
@@ -189,8 +192,8 @@
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_stopped{false};
     View m_view;
-    targets::TargetTable m_targets;
     routing::Router m_router;
+    targets::TargetTable m_targets;
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     http::ConnectionPool m_connections;
--- a/src/entry/entryhost.h
+++ b/src/entry/entryhost.h
@@ -26,7 +26,7 @@
     /** The control hosts' RPC addresses. */
     std::vector<std::string> controlAddresses;
     std::size_t workers = 2;
-    routing::PickerKind picker = routing::PickerKind::LeastRequests;
+    routing::PickerKind picker = routing::PickerKind::LeastExpectedTime;
     /** The most that a stop waits for requests in progress. */
     core::Duration stopLimit = std::chrono::seconds(30);
 };
--- /dev/null
+++ b/src/routing/attempt.h
@@ -0,0 +1,41 @@
+/**
+ * @file
+ * One attempt of a request at a target, from its assignment to its end.
+ */
+#pragma once
+
+#include "core/enumtable.h"
+#include "core/time.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace pimentoshed::routing
+{
+
+/** How an attempt ended, as far as it tells of the target. */
+enum class AttemptOutcome : std::uint8_t {
+    Answered,
+    Failed,
+    Shed,
+    /** Ended by this host or the caller: says nothing of the target. */
+    Cancelled,
+};
+
+inline constexpr std::array AttemptOutcomeNames{
+    core::EnumName<AttemptOutcome>{AttemptOutcome::Answered, "answered"},
+    core::EnumName<AttemptOutcome>{AttemptOutcome::Failed, "failed"},
+    core::EnumName<AttemptOutcome>{AttemptOutcome::Shed, "shed"},
+    core::EnumName<AttemptOutcome>{AttemptOutcome::Cancelled, "cancelled"},
+};
+
+/** What is learned from the end of an attempt. */
+struct AttemptEnd {
+    AttemptOutcome outcome = AttemptOutcome::Answered;
+    core::Duration latency{};
+    /** The target's own word on its requests in progress, where its answer carried one. */
+    std::optional<unsigned> reportedLoad;
+};
+
+} // namespace pimentoshed::routing
--- /dev/null
+++ b/src/routing/latency.cpp
@@ -0,0 +1,49 @@
+#include "routing/latency.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentoshed::routing
+{
+
+namespace
+{
+
+constexpr double MeanGain = 1.0 / 32;
+constexpr double DeviationGain = 1.0 / 16;
+constexpr double DeviationsUntilLate = 4;
+constexpr double MeansUntilLate = 2;
+/** Below this, scheduling at the hosts matters more than the target. */
+constexpr core::Duration LateFloor = std::chrono::milliseconds(2);
+
+} // namespace
+
+void LatencyEstimate::add(core::Duration latency)
+{
+    auto sample = static_cast<double>(latency.count());
+    if (!m_known) {
+        m_known = true;
+        m_mean = sample;
+        m_deviation = sample / 2;
+        return;
+    }
+    sample = std::min(sample, 2 * static_cast<double>(lateAfter().count()));
+    m_deviation += DeviationGain * (std::abs(sample - m_mean) - m_deviation);
+    m_mean += MeanGain * (sample - m_mean);
+}
+
+core::Duration LatencyEstimate::mean() const
+{
+    return core::Duration(static_cast<core::Duration::rep>(m_mean));
+}
+
+core::Duration LatencyEstimate::lateAfter() const
+{
+    if (!m_known) {
+        return core::Duration::max();
+    }
+    const double late = std::max(MeansUntilLate * m_mean, m_mean + DeviationsUntilLate * m_deviation);
+    return std::max(LateFloor, core::Duration(static_cast<core::Duration::rep>(late)));
+}
+
+} // namespace pimentoshed::routing
--- /dev/null
+++ b/src/routing/latency.h
@@ -0,0 +1,36 @@
+/**
+ * @file
+ * What latency is usual at present, and from when on an attempt counts as late.
+ */
+#pragma once
+
+#include "core/time.h"
+
+namespace pimentoshed::routing
+{
+
+/**
+ * Moving mean and mean deviation of answered attempts. A sample counts for at most twice the late threshold: one
+ * straggler hardly moves it, a change of the whole service does within some dozen answers.
+ */
+class LatencyEstimate
+{
+public:
+    void add(core::Duration latency);
+
+    bool known() const
+    {
+        return m_known;
+    }
+    core::Duration mean() const;
+
+    /** An attempt older than this is late. The longest duration where nothing is known yet. */
+    core::Duration lateAfter() const;
+
+private:
+    bool m_known = false;
+    double m_mean = 0;
+    double m_deviation = 0;
+};
+
+} // namespace pimentoshed::routing
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -1,8 +1,8 @@
 #include "routing/picker.h"
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
-#include <vector>
 
 namespace pimentoshed::routing
 {
@@ -12,64 +12,94 @@
 
 using Position = std::optional<std::size_t>;
 
-std::vector<std::size_t> positionsWithRoom(std::span<const Candidate> candidates)
+bool hasRoom(const Candidate &candidate)
 {
-    std::vector<std::size_t> positions;
-    positions.reserve(candidates.size());
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].inFlight < candidates[i].limit) {
-            positions.push_back(i);
-        }
-    }
-    return positions;
+    return candidate.inFlight < candidate.limit;
 }
 
-Position pickRandom(std::span<const Candidate> candidates, const core::RandomSource &random)
+std::size_t countWithRoom(std::span<const Candidate> candidates)
 {
-    const auto positions = positionsWithRoom(candidates);
-    if (positions.empty()) {
-        return std::nullopt;
+    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), hasRoom));
+}
+
+/** The position of the candidate with room that has @p rank others with room before it. */
+std::size_t positionOf(std::span<const Candidate> candidates, std::size_t rank)
+{
+    std::size_t position = 0;
+    for (;; ++position) {
+        if (hasRoom(candidates[position]) && rank-- == 0) {
+            return position;
+        }
     }
-    return positions[core::below(random, positions.size())];
 }
 
-Position pickLeastRequests(std::span<const Candidate> candidates, const core::RandomSource &random)
+/** The cheapest candidate with room; each of the equals is as likely, in one pass. */
+template<typename Cost>
+Position pickCheapest(std::span<const Candidate> candidates, const core::RandomSource &random, Cost cost)
 {
     Position best;
+    double bestCost = 0;
     std::size_t ties = 0;
-    for (const auto position : positionsWithRoom(candidates)) {
-        if (!best || candidates[position].inFlight < candidates[*best].inFlight) {
+    for (std::size_t position = 0; position < candidates.size(); ++position) {
+        if (!hasRoom(candidates[position])) {
+            continue;
+        }
+        const double own = cost(candidates[position]);
+        if (!best || own < bestCost) {
             best = position;
+            bestCost = own;
             ties = 1;
-        } else if (candidates[position].inFlight == candidates[*best].inFlight) {
-            // Each of the equals is as likely, in one pass.
-            ++ties;
-            best = core::below(random, ties) == 0 ? position : *best;
+        } else if (own == bestCost && core::below(random, ++ties) == 0) {
+            best = position;
         }
     }
     return best;
 }
 
+Position pickRandom(std::span<const Candidate> candidates, const core::RandomSource &random)
+{
+    const auto count = countWithRoom(candidates);
+    if (count == 0) {
+        return std::nullopt;
+    }
+    return positionOf(candidates, core::below(random, count));
+}
+
+Position pickLeastRequests(std::span<const Candidate> candidates, const core::RandomSource &random)
+{
+    return pickCheapest(candidates, random, [](const Candidate &candidate) {
+        return static_cast<double>(candidate.inFlight);
+    });
+}
+
 Position pickTwoChoices(std::span<const Candidate> candidates, const core::RandomSource &random)
 {
-    const auto positions = positionsWithRoom(candidates);
-    if (positions.empty()) {
+    const auto count = countWithRoom(candidates);
+    if (count == 0) {
         return std::nullopt;
     }
-    const auto first = positions[core::below(random, positions.size())];
-    const auto second = positions[core::below(random, positions.size())];
+    const auto first = positionOf(candidates, core::below(random, count));
+    const auto second = positionOf(candidates, core::below(random, count));
     return candidates[second].reportedLoad < candidates[first].reportedLoad ? second : first;
 }
 
+Position pickLeastExpectedTime(std::span<const Candidate> candidates, const core::RandomSource &random)
+{
+    return pickCheapest(candidates, random, [](const Candidate &candidate) {
+        const double used = static_cast<double>(candidate.inFlight) / candidate.limit;
+        return static_cast<double>(candidate.expectedLatency.count()) * (1 + used);
+    });
+}
+
 Picker makeRoundRobin()
 {
     const auto next = std::make_shared<std::atomic<std::size_t>>(0);
     return [next](std::span<const Candidate> candidates, const core::RandomSource &) -> Position {
-        const auto positions = positionsWithRoom(candidates);
-        if (positions.empty()) {
+        const auto count = countWithRoom(candidates);
+        if (count == 0) {
             return std::nullopt;
         }
-        return positions[next->fetch_add(1) % positions.size()];
+        return positionOf(candidates, next->fetch_add(1) % count);
     };
 }
 
@@ -86,6 +116,8 @@
         return pickLeastRequests;
     case PickerKind::TwoChoices:
         return pickTwoChoices;
+    case PickerKind::LeastExpectedTime:
+        return pickLeastExpectedTime;
     }
     return pickRandom;
 }
--- a/src/routing/picker.h
+++ b/src/routing/picker.h
@@ -7,7 +7,6 @@
 #include "core/enumtable.h"
 #include "core/random.h"
 #include "core/time.h"
-#include "targets/target.h"
 
 #include <array>
 #include <cstddef>
@@ -20,7 +19,6 @@
 
 /** A target that may be given a request, as this host sees it. */
 struct Candidate {
-    core::TargetId id;
     /** Requests of this host that the target has now. */
     unsigned inFlight = 0;
     /** Requests that this host may give it at once. */
@@ -29,6 +27,8 @@
     unsigned reportedLoad = 0;
     /** Whether it is in this host's failure domain. */
     bool near = false;
+    /** How long this host's requests take at targets as near as this one. */
+    core::Duration expectedLatency{};
 };
 
 /** The position of the chosen candidate, or nothing where none should be used. */
@@ -40,6 +40,8 @@
     RoundRobin,
     LeastRequests,
     TwoChoices,
+    /** The default: shortest expected time, from requests in progress and the usual latency near and far. */
+    LeastExpectedTime,
 };
 
 inline constexpr std::array PickerNames{
@@ -47,6 +49,7 @@
     core::EnumName<PickerKind>{PickerKind::RoundRobin, "round-robin"},
     core::EnumName<PickerKind>{PickerKind::LeastRequests, "least-requests"},
     core::EnumName<PickerKind>{PickerKind::TwoChoices, "two-choices"},
+    core::EnumName<PickerKind>{PickerKind::LeastExpectedTime, "least-expected-time"},
 };
 
 /** The picker of @p kind. One that keeps a position of its own may be called by several threads. */
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,76 +1,146 @@
 #include "routing/router.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace pimentoshed::routing
 {
 
-namespace
+Router::Router(core::FailureDomain ownDomain, RouterHooks hooks)
+    : m_ownDomain(std::move(ownDomain))
+    , m_hooks(std::move(hooks))
 {
+}
 
-bool takesNewWork(const targets::Target &target, const std::vector<core::FailureDomain> &outDomains)
+bool Router::configure(const std::shared_ptr<const configuration::Configuration> &configuration)
 {
-    const bool serves = target.condition == targets::Condition::Cold || target.condition == targets::Condition::Warm;
-    return serves && std::find(outDomains.begin(), outDomains.end(), target.domain) == outDomains.end();
+    {
+        const core::Lock lock(m_mutex);
+        if (m_configuration == configuration) {
+            return false;
+        }
+        m_configuration = configuration;
+    }
+    for (const auto &service : configuration->services) {
+        configureService(service);
+    }
+    retireOthers(*configuration);
+    return true;
 }
 
-unsigned limitOf(const configuration::Service &service, const targets::Target &target)
+void Router::configureService(const configuration::Service &service)
 {
-    return target.condition == targets::Condition::Cold ? service.coldSlots : service.slots;
+    std::shared_ptr<Guarded> guarded;
+    {
+        const core::Lock lock(m_mutex);
+        auto &known = m_services[service.name];
+        if (!known) {
+            known = std::make_shared<Guarded>(ServiceRouter(service, m_ownDomain, m_hooks));
+            known->router.setOutDomains(m_outDomains);
+            return;
+        }
+        guarded = known;
+    }
+    const core::Lock lock(guarded->mutex);
+    guarded->router.configure(service);
+    guarded->retired = false;
 }
 
-} // namespace
+void Router::retireOthers(const configuration::Configuration &configuration)
+{
+    for (const auto &[name, guarded] : all()) {
+        if (configuration::findService(configuration, name) != nullptr) {
+            continue;
+        }
+        bool idle = false;
+        {
+            const core::Lock lock(guarded->mutex);
+            guarded->retired = true;
+            idle = guarded->router.inFlight() == 0;
+        }
+        if (idle) {
+            const core::Lock lock(m_mutex);
+            m_services.erase(name);
+        }
+    }
+}
 
-Router::Router(Picker picker, core::FailureDomain ownDomain, core::RandomSource random)
-    : m_picker(std::move(picker))
-    , m_ownDomain(std::move(ownDomain))
-    , m_random(std::move(random))
+void Router::update(const targets::Target &target)
 {
+    if (const auto guarded = find(target.service)) {
+        const core::Lock lock(guarded->mutex);
+        guarded->router.update(target);
+    }
 }
 
-core::Result<Assignment> Router::assign(const configuration::Service &service,
-                                        const std::vector<targets::Target> &targets,
-                                        const std::vector<core::FailureDomain> &outDomains)
+void Router::setOutDomains(const std::vector<core::FailureDomain> &outDomains)
 {
-    const core::Lock lock(m_mutex);
-    std::vector<Candidate> candidates;
-    std::vector<const targets::Target *> eligible;
-    for (const auto &target : targets) {
-        if (!takesNewWork(target, outDomains)) {
-            continue;
+    {
+        const core::Lock lock(m_mutex);
+        if (m_outDomains == outDomains) {
+            return;
         }
-        const auto counted = m_inFlight.find(target.id);
-        const unsigned inFlight = counted == m_inFlight.end() ? 0 : counted->second;
-        candidates.push_back({target.id, inFlight, limitOf(service, target), inFlight, target.domain == m_ownDomain});
-        eligible.push_back(&target);
+        m_outDomains = outDomains;
     }
-    const auto position = m_picker(candidates, m_random);
-    if (!position) {
-        return core::Error{core::ErrorCode::NoTarget, service.name.str()};
+    for (const auto &[name, guarded] : all()) {
+        const core::Lock lock(guarded->mutex);
+        guarded->router.setOutDomains(outDomains);
     }
-    const auto &chosen = *eligible[*position];
-    ++m_inFlight[chosen.id];
-    return Assignment{chosen.id, chosen.address};
 }
 
-void Router::release(const core::TargetId &target)
+core::Result<Assignment> Router::assign(const core::ServiceName &service,
+                                        core::TimePoint now,
+                                        std::span<const core::TargetId> avoid)
 {
-    const core::Lock lock(m_mutex);
-    const auto counted = m_inFlight.find(target);
-    if (counted == m_inFlight.end()) {
-        return;
+    const auto guarded = find(service);
+    if (!guarded) {
+        return core::Error{core::ErrorCode::NoSuchService, service.str()};
     }
-    if (--counted->second == 0) {
-        m_inFlight.erase(counted);
+    const core::Lock lock(guarded->mutex);
+    if (guarded->retired) {
+        return core::Error{core::ErrorCode::NoSuchService, service.str()};
     }
+    return guarded->router.assign(now, avoid);
+}
+
+void Router::release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now)
+{
+    if (const auto guarded = find(assignment.target->service)) {
+        const core::Lock lock(guarded->mutex);
+        guarded->router.release(assignment, end, now);
+    }
+}
+
+core::Duration Router::lateAfter(const core::ServiceName &service) const
+{
+    const auto guarded = find(service);
+    if (!guarded) {
+        return core::Duration::max();
+    }
+    const core::Lock lock(guarded->mutex);
+    return guarded->router.latency().lateAfter();
+}
+
+TargetStatus Router::status(const core::ServiceName &service, const core::TargetId &id) const
+{
+    const auto guarded = find(service);
+    if (!guarded) {
+        return {};
+    }
+    const core::Lock lock(guarded->mutex);
+    return guarded->router.status(id);
+}
+
+std::shared_ptr<Router::Guarded> Router::find(const core::ServiceName &service) const
+{
+    const core::Lock lock(m_mutex);
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : found->second;
 }
 
-unsigned Router::inFlight(const core::TargetId &target) const
+std::unordered_map<core::ServiceName, std::shared_ptr<Router::Guarded>> Router::all() const
 {
     const core::Lock lock(m_mutex);
-    const auto counted = m_inFlight.find(target);
-    return counted == m_inFlight.end() ? 0 : counted->second;
+    return m_services;
 }
 
 } // namespace pimentoshed::routing
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -4,47 +4,74 @@
  */
 #pragma once
 
-#include "configuration/model.h"
-#include "core/error.h"
 #include "core/rankedmutex.h"
-#include "routing/picker.h"
+#include "routing/servicerouter.h"
 
+#include <memory>
 #include <unordered_map>
 #include <vector>
 
 namespace pimentoshed::routing
 {
 
-/** A target that was given a request. */
-struct Assignment {
-    core::TargetId target;
-    std::string address;
-};
-
-/** Thread-safe; rank Routing. */
+/**
+ * The routers of all services, each under a mutex of its own. The directory's mutex and a service's are never held
+ * together. Thread-safe; rank Routing.
+ */
 class Router
 {
 public:
-    Router(Picker picker, core::FailureDomain ownDomain, core::RandomSource random);
+    Router(core::FailureDomain ownDomain, RouterHooks hooks);
 
     /**
-     * Gives a request of @p service to one of @p targets that is neither leaving nor in @p outDomains. Error: NoTarget.
-     * Each assignment ends with one release.
+     * Takes the services of a configuration; whether it was another one than before, so that every target must be
+     * given again. Services not named take no requests, and go with their last one.
      */
-    core::Result<Assignment> assign(const configuration::Service &service,
-                                    const std::vector<targets::Target> &targets,
-                                    const std::vector<core::FailureDomain> &outDomains);
+    bool configure(const std::shared_ptr<const configuration::Configuration> &configuration);
 
-    void release(const core::TargetId &target);
+    /** Takes the newest word of a target. Of a service that is not configured: kept out. */
+    void update(const targets::Target &target);
 
-    unsigned inFlight(const core::TargetId &target) const;
+    void setOutDomains(const std::vector<core::FailureDomain> &outDomains);
+
+    /**
+     * Gives a request of @p service to a target that serves and is not one of @p avoid. Errors: NoSuchService,
+     * NoTarget. Each assignment ends with one release.
+     */
+    core::Result<Assignment> assign(const core::ServiceName &service,
+                                    core::TimePoint now,
+                                    std::span<const core::TargetId> avoid = {});
+
+    void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
+
+    /** From when on an attempt of @p service counts as late: for hedges and probes. */
+    core::Duration lateAfter(const core::ServiceName &service) const;
+
+    TargetStatus status(const core::ServiceName &service, const core::TargetId &id) const;
 
 private:
-    const Picker m_picker;
+    struct Guarded {
+        explicit Guarded(ServiceRouter serviceRouter)
+            : router(std::move(serviceRouter))
+        {
+        }
+        core::RankedMutex mutex{core::LockRank::Routing};
+        ServiceRouter router;
+        bool retired = false;
+    };
+
+    void configureService(const configuration::Service &service);
+    void retireOthers(const configuration::Configuration &configuration);
+
+    std::shared_ptr<Guarded> find(const core::ServiceName &service) const;
+    std::unordered_map<core::ServiceName, std::shared_ptr<Guarded>> all() const;
+
     const core::FailureDomain m_ownDomain;
+    const RouterHooks m_hooks;
     mutable core::RankedMutex m_mutex{core::LockRank::Routing};
-    const core::RandomSource m_random;
-    std::unordered_map<core::TargetId, unsigned> m_inFlight;
+    std::shared_ptr<const configuration::Configuration> m_configuration;
+    std::vector<core::FailureDomain> m_outDomains;
+    std::unordered_map<core::ServiceName, std::shared_ptr<Guarded>> m_services;
 };
 
 } // namespace pimentoshed::routing
--- /dev/null
+++ b/src/routing/servicerouter.cpp
@@ -0,0 +1,320 @@
+#include "routing/servicerouter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoshed::routing
+{
+
+namespace
+{
+
+/** The share of serving targets that may be held at once, as one in this many. */
+constexpr std::size_t HeldShareDivisor = 2;
+/** At most one assignment in this many is a trial. */
+constexpr unsigned AssignmentsPerTrial = 4;
+/** Targets with room that a picker is shown at most. */
+constexpr std::size_t MaxCandidates = 64;
+constexpr core::Duration FailurePause = std::chrono::milliseconds(50);
+
+bool contains(std::span<const core::TargetId> ids, const core::TargetId &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+ServiceRouter::ServiceRouter(configuration::Service service, core::FailureDomain ownDomain, RouterHooks hooks)
+    : m_service(std::move(service))
+    , m_ownDomain(std::move(ownDomain))
+    , m_hooks(std::move(hooks))
+{
+    m_candidates.reserve(MaxCandidates);
+    m_candidatePositions.reserve(MaxCandidates);
+}
+
+void ServiceRouter::configure(const configuration::Service &service)
+{
+    m_service = service;
+}
+
+void ServiceRouter::update(const targets::Target &target)
+{
+    const auto [position, isNew] = m_positions.try_emplace(target.id, m_entries.size());
+    if (isNew) {
+        m_entries.emplace_back();
+        m_entries.back().outstanding.reserve(m_service.slots);
+    }
+    auto &entry = m_entries[position->second];
+    if (entry.target && (target.word < entry.target->word || *entry.target == target)) {
+        return;
+    }
+    const bool restarted = entry.target && entry.target->word.incarnation != target.word.incarnation;
+    entry.target = std::make_shared<const targets::Target>(target);
+    if (restarted) {
+        trust(entry);
+    }
+    refresh(entry);
+    if (target.condition == targets::Condition::Gone && entry.outstanding.empty()) {
+        erase(position->second);
+    }
+    recount();
+}
+
+void ServiceRouter::setOutDomains(std::span<const core::FailureDomain> outDomains)
+{
+    if (std::equal(outDomains.begin(), outDomains.end(), m_outDomains.begin(), m_outDomains.end())) {
+        return;
+    }
+    m_outDomains.assign(outDomains.begin(), outDomains.end());
+    for (auto &entry : m_entries) {
+        refresh(entry);
+    }
+    recount();
+}
+
+core::Result<Assignment> ServiceRouter::assign(core::TimePoint now, std::span<const core::TargetId> avoid)
+{
+    ++m_sinceTrial;
+    if (const auto trial = dueTrial(now, avoid)) {
+        m_sinceTrial = 0;
+        return start(m_entries[*trial], now, true);
+    }
+    const auto position = pick(now, avoid);
+    if (!position) {
+        return core::Error{core::ErrorCode::NoTarget, m_service.name.str()};
+    }
+    auto &entry = m_entries[*position];
+    return start(entry, now, entry.suspicion.trialDue(now));
+}
+
+void ServiceRouter::release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now)
+{
+    const auto found = m_positions.find(assignment.target->id);
+    if (found == m_positions.end()) {
+        return;
+    }
+    auto &entry = m_entries[found->second];
+    const auto attempt = std::find_if(entry.outstanding.begin(), entry.outstanding.end(), [&](const auto &each) {
+        return each.attempt == assignment.attempt;
+    });
+    if (attempt == entry.outstanding.end()) {
+        return;
+    }
+    const auto ended = *attempt;
+    entry.outstanding.erase(attempt);
+    // An answer of an earlier incarnation says nothing of this one.
+    if (assignment.target->word.incarnation == entry.target->word.incarnation) {
+        learn(entry, ended, end, now);
+    }
+    if (entry.target->condition == targets::Condition::Gone && entry.outstanding.empty()) {
+        erase(found->second);
+        recount();
+    }
+}
+
+TargetStatus ServiceRouter::status(const core::TargetId &id) const
+{
+    const auto found = m_positions.find(id);
+    if (found == m_positions.end()) {
+        return {};
+    }
+    const auto &entry = m_entries[found->second];
+    return {static_cast<unsigned>(entry.outstanding.size()), entry.suspicion.suspect(), entry.held};
+}
+
+const LatencyEstimate &ServiceRouter::latency() const
+{
+    return m_latency;
+}
+
+std::size_t ServiceRouter::inFlight() const
+{
+    std::size_t count = 0;
+    for (const auto &entry : m_entries) {
+        count += entry.outstanding.size();
+    }
+    return count;
+}
+
+void ServiceRouter::refresh(Entry &entry) const
+{
+    const auto &target = *entry.target;
+    const bool takesWork = target.condition == targets::Condition::Cold || target.condition == targets::Condition::Warm;
+    const bool out = std::find(m_outDomains.begin(), m_outDomains.end(), target.domain) != m_outDomains.end();
+    entry.serves = takesWork && !out;
+    entry.near = target.domain == m_ownDomain;
+}
+
+void ServiceRouter::setHeld(Entry &entry)
+{
+    if (entry.serves && !entry.held && m_held < m_serving / HeldShareDivisor) {
+        entry.held = true;
+        ++m_held;
+    }
+}
+
+void ServiceRouter::noticeLate(Entry &entry, core::TimePoint now)
+{
+    if (entry.suspicion.suspect() || entry.outstanding.empty() || !m_latency.known()) {
+        return;
+    }
+    if (now - entry.outstanding.front().start > m_latency.lateAfter()) {
+        entry.suspicion.raise(now, m_latency.mean());
+        ++m_suspects;
+        setHeld(entry);
+    }
+}
+
+void ServiceRouter::learn(Entry &entry, const Outstanding &attempt, const AttemptEnd &end, core::TimePoint now)
+{
+    if (end.reportedLoad) {
+        entry.reportedLoad = *end.reportedLoad;
+    }
+    if (end.outcome == AttemptOutcome::Cancelled) {
+        if (attempt.trial) {
+            entry.suspicion.dropTrial();
+        }
+        return;
+    }
+    const bool answered = end.outcome == AttemptOutcome::Answered;
+    const bool good = answered && end.latency <= m_latency.lateAfter();
+    if (answered) {
+        m_latency.add(end.latency);
+        (entry.near ? m_nearLatency : m_farLatency).add(end.latency);
+    }
+    if (good && attempt.trial) {
+        trust(entry);
+    } else if (!good && attempt.trial) {
+        entry.suspicion.failTrial(now);
+    } else if (!good && !entry.suspicion.suspect()) {
+        entry.suspicion.raise(now, answered ? m_latency.mean() : FailurePause);
+        ++m_suspects;
+        setHeld(entry);
+    }
+}
+
+void ServiceRouter::trust(Entry &entry)
+{
+    if (entry.suspicion.suspect()) {
+        --m_suspects;
+    }
+    if (std::exchange(entry.held, false)) {
+        --m_held;
+    }
+    entry.suspicion.passTrial();
+    for (auto &attempt : entry.outstanding) {
+        attempt.trial = false;
+    }
+}
+
+unsigned ServiceRouter::limit(const Entry &entry, core::TimePoint now) const
+{
+    if (!entry.serves) {
+        return 0;
+    }
+    if (entry.target->condition == targets::Condition::Warm) {
+        return m_service.slots;
+    }
+    return m_hooks.coldLimit ? std::min(m_hooks.coldLimit(*entry.target, now), m_service.slots) : m_service.coldSlots;
+}
+
+core::Duration ServiceRouter::expectedLatency(const Entry &entry) const
+{
+    const auto &own = entry.near ? m_nearLatency : m_farLatency;
+    return own.known() ? own.mean() : m_latency.mean();
+}
+
+std::optional<std::size_t> ServiceRouter::dueTrial(core::TimePoint now, std::span<const core::TargetId> avoid)
+{
+    if (m_suspects == 0 || m_sinceTrial < AssignmentsPerTrial) {
+        return std::nullopt;
+    }
+    const auto first = core::below(m_hooks.random, m_entries.size());
+    for (std::size_t step = 0; step < m_entries.size(); ++step) {
+        const auto position = (first + step) % m_entries.size();
+        const auto &entry = m_entries[position];
+        if (entry.suspicion.trialDue(now) && entry.outstanding.size() < limit(entry, now)
+            && !contains(avoid, entry.target->id)) {
+            return position;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::size_t> ServiceRouter::pick(core::TimePoint now, std::span<const core::TargetId> avoid)
+{
+    gather(now, avoid);
+    if (m_candidates.empty()) {
+        return std::nullopt;
+    }
+    const auto choice = m_hooks.picker(m_candidates, m_hooks.random);
+    return choice ? std::optional(m_candidatePositions[*choice]) : std::nullopt;
+}
+
+/** Collects trusted targets with room, starting at random; suspects only where no trusted one has any. */
+void ServiceRouter::gather(core::TimePoint now, std::span<const core::TargetId> avoid)
+{
+    m_candidates.clear();
+    m_candidatePositions.clear();
+    if (m_entries.empty()) {
+        return;
+    }
+    const auto first = m_entries.size() > MaxCandidates ? core::below(m_hooks.random, m_entries.size()) : 0;
+    for (const bool suspects : {false, true}) {
+        for (std::size_t step = 0; step < m_entries.size() && m_candidates.size() < MaxCandidates; ++step) {
+            const auto position = first + step < m_entries.size() ? first + step : first + step - m_entries.size();
+            auto &entry = m_entries[position];
+            noticeLate(entry, now);
+            const auto inFlight = static_cast<unsigned>(entry.outstanding.size());
+            const bool usable = entry.serves && !entry.held && entry.suspicion.suspect() == suspects;
+            const unsigned most = usable ? limit(entry, now) : 0;
+            if (inFlight < most && !contains(avoid, entry.target->id)) {
+                m_candidates.push_back({inFlight, most, entry.reportedLoad, entry.near, expectedLatency(entry)});
+                m_candidatePositions.push_back(position);
+            }
+        }
+        if (!m_candidates.empty() || m_suspects == 0) {
+            return;
+        }
+    }
+}
+
+Assignment ServiceRouter::start(Entry &entry, core::TimePoint now, bool trial)
+{
+    if (trial) {
+        entry.suspicion.startTrial();
+    }
+    const auto attempt = m_nextAttempt++;
+    entry.outstanding.push_back({attempt, now, trial});
+    return {entry.target, attempt};
+}
+
+void ServiceRouter::erase(std::size_t position)
+{
+    m_positions.erase(m_entries[position].target->id);
+    if (position + 1 != m_entries.size()) {
+        m_entries[position] = std::move(m_entries.back());
+        m_positions[m_entries[position].target->id] = position;
+    }
+    m_entries.pop_back();
+}
+
+/** Counts again after a change of targets, and lifts holds that are now too many. */
+void ServiceRouter::recount()
+{
+    m_serving = static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [](const auto &entry) {
+        return entry.serves;
+    }));
+    m_suspects = 0;
+    m_held = 0;
+    for (auto &entry : m_entries) {
+        m_suspects += entry.suspicion.suspect() ? 1 : 0;
+        entry.held = false;
+        if (entry.suspicion.suspect()) {
+            setHeld(entry);
+        }
+    }
+}
+
+} // namespace pimentoshed::routing
--- /dev/null
+++ b/src/routing/servicerouter.h
@@ -0,0 +1,130 @@
+/**
+ * @file
+ * The targets of one service as one entry host uses them.
+ */
+#pragma once
+
+#include "configuration/model.h"
+#include "core/error.h"
+#include "core/random.h"
+#include "routing/attempt.h"
+#include "routing/latency.h"
+#include "routing/picker.h"
+#include "routing/suspicion.h"
+#include "targets/target.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentoshed::routing
+{
+
+/** Requests that this host may have at a cold target at once. */
+using ColdLimit = std::function<unsigned(const targets::Target &, core::TimePoint)>;
+
+/** What varies between routers. */
+struct RouterHooks {
+    Picker picker;
+    /** Without it every host gives a cold target the service's coldSlots. */
+    ColdLimit coldLimit;
+    core::RandomSource random;
+};
+
+/** A request that was given to a target. Ends with one release. */
+struct Assignment {
+    std::shared_ptr<const targets::Target> target;
+    std::uint64_t attempt = 0;
+};
+
+/** What a router knows of one target, for dumps and tests. */
+struct TargetStatus {
+    unsigned inFlight = 0;
+    bool suspect = false;
+    /** Suspect, and without work but for trials. */
+    bool held = false;
+};
+
+/**
+ * Counts this host's requests at each target exactly, and assigns only to targets that serve, in domains that are not
+ * out, below their limit. At most half of the serving targets are held at once: further suspects stay in use, after
+ * every target that is trusted. Not thread-safe.
+ */
+class ServiceRouter
+{
+public:
+    ServiceRouter(configuration::Service service, core::FailureDomain ownDomain, RouterHooks hooks);
+
+    void configure(const configuration::Service &service);
+
+    /** Takes the newest word of a target. One that is gone goes once its last request has ended. */
+    void update(const targets::Target &target);
+
+    void setOutDomains(std::span<const core::FailureDomain> outDomains);
+
+    /** Gives a request to a target that is not one of @p avoid. Error: NoTarget. */
+    core::Result<Assignment> assign(core::TimePoint now, std::span<const core::TargetId> avoid = {});
+
+    /** Ends an assignment. One that was released before is ignored. */
+    void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
+
+    TargetStatus status(const core::TargetId &id) const;
+    const LatencyEstimate &latency() const;
+    /** Requests at all targets together. */
+    std::size_t inFlight() const;
+
+private:
+    struct Outstanding {
+        std::uint64_t attempt = 0;
+        core::TimePoint start{};
+        bool trial = false;
+    };
+    struct Entry {
+        std::shared_ptr<const targets::Target> target;
+        /** In order of start. */
+        std::vector<Outstanding> outstanding;
+        Suspicion suspicion;
+        unsigned reportedLoad = 0;
+        bool serves = false;
+        bool near = false;
+        bool held = false;
+    };
+
+    void refresh(Entry &entry) const;
+    void setHeld(Entry &entry);
+    void noticeLate(Entry &entry, core::TimePoint now);
+    void learn(Entry &entry, const Outstanding &attempt, const AttemptEnd &end, core::TimePoint now);
+    void trust(Entry &entry);
+    unsigned limit(const Entry &entry, core::TimePoint now) const;
+    core::Duration expectedLatency(const Entry &entry) const;
+    std::optional<std::size_t> dueTrial(core::TimePoint now, std::span<const core::TargetId> avoid);
+    std::optional<std::size_t> pick(core::TimePoint now, std::span<const core::TargetId> avoid);
+    void gather(core::TimePoint now, std::span<const core::TargetId> avoid);
+    Assignment start(Entry &entry, core::TimePoint now, bool trial);
+    void erase(std::size_t position);
+    void recount();
+
+    configuration::Service m_service;
+    const core::FailureDomain m_ownDomain;
+    const RouterHooks m_hooks;
+    std::vector<core::FailureDomain> m_outDomains;
+    std::vector<Entry> m_entries;
+    std::unordered_map<core::TargetId, std::size_t> m_positions;
+    LatencyEstimate m_latency;
+    LatencyEstimate m_nearLatency;
+    LatencyEstimate m_farLatency;
+    std::uint64_t m_nextAttempt = 1;
+    std::size_t m_serving = 0;
+    std::size_t m_suspects = 0;
+    std::size_t m_held = 0;
+    unsigned m_sinceTrial = 0;
+    /** Kept between calls so that an assignment allocates nothing. */
+    std::vector<Candidate> m_candidates;
+    std::vector<std::size_t> m_candidatePositions;
+};
+
+} // namespace pimentoshed::routing
--- /dev/null
+++ b/src/routing/suspicion.cpp
@@ -0,0 +1,40 @@
+#include "routing/suspicion.h"
+
+#include <algorithm>
+
+namespace pimentoshed::routing
+{
+
+namespace
+{
+
+constexpr core::Duration ShortestPause = std::chrono::milliseconds(2);
+constexpr core::Duration LongestPause = std::chrono::seconds(2);
+
+} // namespace
+
+void Suspicion::raise(core::TimePoint now, core::Duration pause)
+{
+    if (m_suspect) {
+        return;
+    }
+    m_suspect = true;
+    m_trialRunning = false;
+    m_pause = std::clamp(pause, ShortestPause, LongestPause);
+    m_nextTrial = now + m_pause;
+}
+
+void Suspicion::passTrial()
+{
+    m_suspect = false;
+    m_trialRunning = false;
+}
+
+void Suspicion::failTrial(core::TimePoint now)
+{
+    m_trialRunning = false;
+    m_pause = std::min(2 * m_pause, LongestPause);
+    m_nextTrial = now + m_pause;
+}
+
+} // namespace pimentoshed::routing
--- a/src/targets/targettable.cpp
+++ b/src/targets/targettable.cpp
@@ -1,8 +1,15 @@
 #include "targets/targettable.h"
 
+#include <utility>
+
 namespace pimentoshed::targets
 {
 
+TargetTable::TargetTable(ChangeHook onChange)
+    : m_onChange(std::move(onChange))
+{
+}
+
 Reception TargetTable::announce(const Target &target, core::TimePoint leaseEnd)
 {
     const core::Lock lock(m_mutex);
@@ -26,6 +33,7 @@
         entry.leaseEnd.reset();
         entry.target.condition = Condition::Gone;
         ++entry.target.word.sequence;
+        tell(entry.target);
         expired.push_back(entry.target);
     }
     return expired;
@@ -78,6 +86,7 @@
     auto [position, isNew] = m_entries.try_emplace(target.id, Entry{target, leaseEnd});
     if (isNew) {
         index(target);
+        tell(target);
         return Reception::Changed;
     }
     auto &entry = position->second;
@@ -90,7 +99,11 @@
         index(target);
     }
     entry = Entry{target, target.condition == Condition::Gone ? std::nullopt : leaseEnd};
-    return changed ? Reception::Changed : Reception::Renewed;
+    if (!changed) {
+        return Reception::Renewed;
+    }
+    tell(target);
+    return Reception::Changed;
 }
 
 void TargetTable::index(const Target &target)
@@ -98,4 +111,11 @@
     m_byService[target.service].push_back(target.id);
 }
 
+void TargetTable::tell(const Target &target) const
+{
+    if (m_onChange) {
+        m_onChange(target);
+    }
+}
+
 } // namespace pimentoshed::targets
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -9,6 +9,7 @@
 #include "targets/target.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -30,6 +31,12 @@
 class TargetTable
 {
 public:
+    /** Takes each new word of a target, in order, under the table's lock. */
+    using ChangeHook = std::function<void(const Target &)>;
+
+    TargetTable() = default;
+    explicit TargetTable(ChangeHook onChange);
+
     /** Takes @p target's own announcement at this host, which keeps its lease until @p leaseEnd from now on. */
     Reception announce(const Target &target, core::TimePoint leaseEnd);
 
@@ -52,7 +59,9 @@
 
     Reception store(const Target &target, std::optional<core::TimePoint> leaseEnd);
     void index(const Target &target);
+    void tell(const Target &target) const;
 
+    const ChangeHook m_onChange;
     mutable core::RankedMutex m_mutex{core::LockRank::Targets};
     std::unordered_map<core::TargetId, Entry> m_entries;
     std::map<core::ServiceName, std::vector<core::TargetId>> m_byService;
--- /dev/null
+++ b/tests/routing/servicerouter.cpp
@@ -0,0 +1,174 @@
+#include "routing/servicerouter.h"
+
+#include "fixture.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace pimentoshed;
+using namespace pimentoshed::routing::test;
+using namespace std::chrono_literals;
+using routing::AttemptOutcome;
+using targets::Condition;
+
+namespace
+{
+
+const core::TargetId Bad("t0");
+
+/** Answers requests one after the other, @p bad's by @p badEnd; how many of them went to it. */
+unsigned serve(routing::ServiceRouter &router, unsigned count, core::TimePoint &now, const routing::AttemptEnd &badEnd)
+{
+    unsigned atBad = 0;
+    for (unsigned i = 0; i < count; ++i) {
+        const auto assigned = router.assign(now);
+        REQUIRE(core::ok(assigned));
+        const auto &assignment = core::value(assigned);
+        now += 1ms;
+        const bool bad = assignment.target->id == Bad;
+        atBad += bad ? 1 : 0;
+        router.release(assignment, bad ? badEnd : routing::AttemptEnd{AttemptOutcome::Answered, 5ms, {}}, now);
+    }
+    return atBad;
+}
+
+const routing::AttemptEnd Good{AttemptOutcome::Answered, 5ms, {}};
+
+} // namespace
+
+TEST_CASE("requests are counted exactly and stay below the slots")
+{
+    auto router = makeRouter(2);
+    std::vector<routing::Assignment> assignments;
+    for (unsigned i = 0; i < 6; ++i) {
+        assignments.push_back(core::value(router.assign(Start)));
+    }
+    CHECK(core::error(router.assign(Start)).code == core::ErrorCode::NoTarget);
+    CHECK(router.status(Bad).inFlight == 3);
+    router.release(assignments[0], Good, Start);
+    router.release(assignments[0], Good, Start);
+    CHECK(router.inFlight() == 5);
+}
+
+TEST_CASE("targets that leave and domains that are out get nothing at once")
+{
+    auto router = makeRouter(1);
+    router.update(makeTarget("t1", "mezica"));
+    router.update(makeTarget("t0", "ravne", Condition::Leaving, 1));
+    CHECK(core::value(router.assign(Start)).target->id == core::TargetId("t1"));
+    const std::vector out{core::FailureDomain("mezica")};
+    router.setOutDomains(out);
+    CHECK_FALSE(core::ok(router.assign(Start)));
+    router.setOutDomains({});
+    CHECK(core::ok(router.assign(Start)));
+    router.update(makeTarget("t0", "ravne", Condition::Warm, 0));
+    CHECK(core::value(router.assign(Start)).target->id == core::TargetId("t1"));
+}
+
+TEST_CASE("a target with an outstanding late request loses work before that ends and gets it back by trial")
+{
+    auto router = makeRouter(4);
+    core::TimePoint now = Start;
+    serve(router, 200, now, Good);
+    // One request of each target is outstanding; all but the bad one's end.
+    std::vector<routing::Assignment> stuck;
+    while (router.status(Bad).inFlight == 0) {
+        stuck.push_back(core::value(router.assign(now)));
+    }
+    now += 5ms;
+    for (const auto &each : stuck) {
+        if (each.target->id != Bad) {
+            router.release(each, Good, now);
+        }
+    }
+    now += 50ms;
+    router.assign(now);
+    CHECK(router.status(Bad).held);
+    unsigned trials = 0;
+    for (unsigned i = 0; i < 100; ++i) {
+        now += 1ms;
+        const auto assignment = core::value(router.assign(now));
+        if (assignment.target->id == Bad) {
+            ++trials;
+        } else {
+            router.release(assignment, Good, now);
+        }
+    }
+    CHECK(trials == 1);
+    serve(router, 1, now, Good);
+    CHECK(router.status(Bad).held);
+}
+
+TEST_CASE("a good trial gives a held target its share back")
+{
+    auto router = makeRouter(4);
+    core::TimePoint now = Start;
+    serve(router, 200, now, Good);
+    serve(router, 30, now, {AttemptOutcome::Answered, 500ms, {}});
+    CHECK(router.status(Bad).held);
+    CHECK(serve(router, 400, now, Good) > 50);
+    CHECK_FALSE(router.status(Bad).suspect);
+}
+
+TEST_CASE("a target that fails fast gets less than its share under every picker")
+{
+    for (const auto &row : routing::PickerNames) {
+        auto router = makeRouter(4, row.value);
+        core::TimePoint now = Start;
+        CHECK(serve(router, 1000, now, {AttemptOutcome::Failed, 10us, {}}) < 20);
+    }
+}
+
+TEST_CASE("at most half of the targets are held, and the others carry on")
+{
+    auto router = makeRouter(4);
+    core::TimePoint now = Start;
+    for (unsigned i = 0; i < 200; ++i) {
+        const auto assigned = router.assign(now);
+        REQUIRE(core::ok(assigned));
+        router.release(core::value(assigned), {AttemptOutcome::Failed, 1ms, {}}, now += 1ms);
+    }
+    unsigned held = 0;
+    for (const auto *id : {"t0", "t1", "t2", "t3"}) {
+        held += router.status(core::TargetId(id)).held ? 1 : 0;
+    }
+    CHECK(held == 2);
+}
+
+TEST_CASE("the own domain is preferred until it is slower")
+{
+    auto router = makeRouter(1, routing::PickerKind::LeastExpectedTime, 6);
+    router.update(makeTarget("far", "mezica"));
+    core::TimePoint now = Start;
+    const auto run = [&](core::Duration nearLatency) {
+        std::map<std::string, unsigned> counts;
+        for (unsigned i = 0; i < 400; ++i) {
+            const auto assignment = core::value(router.assign(now));
+            const bool far = assignment.target->id == core::TargetId("far");
+            ++counts[assignment.target->id.str()];
+            router.release(assignment, {AttemptOutcome::Answered, far ? 6ms : nearLatency, {}}, now += 1ms);
+        }
+        return counts;
+    };
+    CHECK(run(5ms)["t0"] > 380);
+    CHECK(run(8ms)["far"] > 300);
+}
+
+TEST_CASE("a restart of a target clears suspicion, and what the old process answers says nothing")
+{
+    auto router = makeRouter(2);
+    core::TimePoint now = Start;
+    std::vector<routing::Assignment> old;
+    for (unsigned i = 0; i < 6; ++i) {
+        old.push_back(core::value(router.assign(now)));
+    }
+    auto restarted = makeTarget("t0");
+    restarted.word = {2, 0};
+    router.update(restarted);
+    CHECK(router.status(Bad).inFlight == 3);
+    for (const auto &each : old) {
+        router.release(each, {AttemptOutcome::Failed, 1ms, {}}, now);
+    }
+    CHECK_FALSE(router.status(Bad).suspect);
+    CHECK(router.status(core::TargetId("t1")).suspect);
+}
