Let one owner at most send to a cold target

Cause: each entry host gave a cold target the service's cold slots, so 17 hosts gave it 17 times what it can carry. Ruled out: permits for each slot, a fixed share for each host, a lease for each target. Settling any view but the newest: a host that skipped one would keep what that view had given to another.

--- a/src/core/rankedmutex.cpp
+++ b/src/core/rankedmutex.cpp
@@ -19,6 +19,7 @@
     EnumName<LockRank>{LockRank::Membership, "membership"},
     EnumName<LockRank>{LockRank::Targets, "targets"},
     EnumName<LockRank>{LockRank::Routing, "routing"},
+    EnumName<LockRank>{LockRank::ColdTargets, "cold-targets"},
     EnumName<LockRank>{LockRank::Admission, "admission"},
     EnumName<LockRank>{LockRank::Requests, "requests"},
     EnumName<LockRank>{LockRank::Connections, "connections"},
--- a/src/core/rankedmutex.h
+++ b/src/core/rankedmutex.h
@@ -18,6 +18,7 @@
     Membership = 30,
     Targets = 40,
     Routing = 50,
+    ColdTargets = 55,
     Admission = 60,
     Requests = 70,
     Connections = 80,
--- /dev/null
+++ b/src/membership/ownership.cpp
@@ -0,0 +1,182 @@
+#include "membership/ownership.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace pimentoshed::membership
+{
+
+namespace
+{
+
+/** Clocks of two hosts run apart by at most one part in this many. */
+constexpr int ClockDriftDivisor = 20;
+
+constexpr std::uint64_t FnvBasis = 14695981039346656037ULL;
+constexpr std::uint64_t FnvPrime = 1099511628211ULL;
+
+std::uint64_t hashText(std::uint64_t state, std::string_view text)
+{
+    for (const char byte : text) {
+        state = (state ^ static_cast<unsigned char>(byte)) * FnvPrime;
+    }
+    // Ends the text, so that "a" + "bc" and "ab" + "c" differ.
+    return (state ^ 0xffU) * FnvPrime;
+}
+
+/** The finaliser of SplitMix64. */
+std::uint64_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+std::uint64_t weight(const Member &member, const core::TargetId &target)
+{
+    return mix(hashText(hashText(FnvBasis, member.id.str()), target.str()));
+}
+
+bool isNear(const OwnershipView &view, const core::FailureDomain &domain)
+{
+    return std::any_of(view.members.begin(), view.members.end(), [&](const auto &member) {
+        return member.domain == domain;
+    });
+}
+
+} // namespace
+
+const Member *ownerOf(const OwnershipView &view, const core::TargetId &target, const core::FailureDomain &domain)
+{
+    const bool near = isNear(view, domain);
+    const Member *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const auto &member : view.members) {
+        if (near && member.domain != domain) {
+            continue;
+        }
+        const auto own = weight(member, target);
+        if (best == nullptr || own > bestWeight || (own == bestWeight && member.id > best->id)) {
+            best = &member;
+            bestWeight = own;
+        }
+    }
+    return best;
+}
+
+Ownership::Ownership(core::HostId self, std::uint64_t incarnation)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+{
+}
+
+void Ownership::learn(const OwnershipView &view)
+{
+    if (m_views.empty() || view.number > m_views.back().number) {
+        m_views.push_back(view);
+    }
+}
+
+void Ownership::settle(std::uint64_t number)
+{
+    if (m_views.empty() || number != m_views.back().number) {
+        return;
+    }
+    m_views.erase(m_views.begin(), m_views.end() - 1);
+    m_settled = true;
+}
+
+bool Ownership::confirm(core::TimePoint asked, core::TimePoint now, core::Duration permission)
+{
+    const bool lapsed = !m_permission.holds(now, permission);
+    if (lapsed) {
+        m_settled = false;
+    }
+    m_permission.confirm(asked);
+    return lapsed;
+}
+
+std::uint64_t Ownership::acknowledged() const
+{
+    return m_views.empty() ? 0 : m_views.back().number;
+}
+
+bool Ownership::owns(const core::TargetId &target,
+                     const core::FailureDomain &domain,
+                     core::TimePoint now,
+                     core::Duration permission) const
+{
+    return m_settled && m_permission.holds(now, permission) && keeps(target, domain);
+}
+
+bool Ownership::keeps(const core::TargetId &target, const core::FailureDomain &domain) const
+{
+    return std::all_of(m_views.begin(), m_views.end(), [&](const auto &view) {
+        const auto *owner = ownerOf(view, target, domain);
+        return owner != nullptr && owner->id == m_self && owner->incarnation == m_incarnation;
+    });
+}
+
+OwnershipCoordinator::OwnershipCoordinator(OwnershipView view,
+                                           const std::vector<Member> &others,
+                                           core::TimePoint now,
+                                           core::Duration permission)
+    : m_view(std::move(view))
+    , m_permission(permission + permission / ClockDriftDivisor)
+{
+    for (const auto &member : m_view.members) {
+        m_acting[member] = {0, now + m_permission};
+    }
+    for (const auto &member : others) {
+        m_acting[member] = {0, now + m_permission};
+    }
+}
+
+bool OwnershipCoordinator::propose(std::vector<Member> members)
+{
+    std::sort(members.begin(), members.end());
+    if (members == m_view.members) {
+        return false;
+    }
+    m_view = {m_view.number + 1, std::move(members)};
+    return true;
+}
+
+void OwnershipCoordinator::hear(const Member &member, std::uint64_t acknowledged, core::TimePoint now)
+{
+    auto &acting = m_acting[member];
+    acting.acknowledged = std::max(acting.acknowledged, acknowledged);
+    acting.permissionEnd = std::max(acting.permissionEnd, now + m_permission);
+}
+
+void OwnershipCoordinator::leave(const Member &member)
+{
+    m_acting.erase(member);
+}
+
+const OwnershipView &OwnershipCoordinator::view() const
+{
+    return m_view;
+}
+
+std::optional<std::uint64_t> OwnershipCoordinator::settled(core::TimePoint now) const
+{
+    const bool all = std::all_of(m_acting.begin(), m_acting.end(), [&](const auto &entry) {
+        return entry.second.acknowledged >= m_view.number || entry.second.permissionEnd <= now;
+    });
+    return all ? std::optional(m_view.number) : std::nullopt;
+}
+
+std::vector<Member> OwnershipCoordinator::acting(core::TimePoint now) const
+{
+    std::vector<Member> found;
+    for (const auto &[member, acting] : m_acting) {
+        if (acting.permissionEnd > now) {
+            found.push_back(member);
+        }
+    }
+    return found;
+}
+
+} // namespace pimentoshed::membership
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -15,6 +15,8 @@
 constexpr unsigned AssignmentsPerTrial = 4;
 /** Targets with room that a picker is shown at most. */
 constexpr std::size_t MaxCandidates = 64;
+/** Trials in a row that go wrong before a target is taken to have turned cold. */
+constexpr unsigned TrialsUntilCold = 4;
 constexpr core::Duration FailurePause = std::chrono::milliseconds(50);
 
 bool contains(std::span<const core::TargetId> ids, const core::TargetId &id)
@@ -120,7 +122,10 @@
         return {};
     }
     const auto &entry = m_entries[found->second];
-    return {static_cast<unsigned>(entry.outstanding.size()), entry.suspicion.suspect(), entry.held};
+    return {static_cast<unsigned>(entry.outstanding.size()),
+            entry.suspicion.suspect(),
+            entry.held,
+            entry.assumedColdUntil.has_value()};
 }
 
 const LatencyEstimate &ServiceRouter::latency() const
@@ -177,6 +182,9 @@
         }
         return;
     }
+    if (m_hooks.onEnd) {
+        m_hooks.onEnd(*entry.target, end, m_latency.lateAfter(), now);
+    }
     const bool answered = end.outcome == AttemptOutcome::Answered;
     const bool good = answered && end.latency <= m_latency.lateAfter();
     if (answered) {
@@ -186,7 +194,7 @@
     if (good && attempt.trial) {
         trust(entry);
     } else if (!good && attempt.trial) {
-        entry.suspicion.failTrial(now);
+        failTrial(entry, now);
     } else if (!good && !entry.suspicion.suspect()) {
         entry.suspicion.raise(now, answered ? m_latency.mean() : FailurePause);
         ++m_suspects;
@@ -194,6 +202,15 @@
     }
 }
 
+void ServiceRouter::failTrial(Entry &entry, core::TimePoint now)
+{
+    entry.suspicion.failTrial(now);
+    if (++entry.failedTrials >= TrialsUntilCold) {
+        entry.assumedColdUntil = now + m_service.warmUp;
+        entry.failedTrials = 0;
+    }
+}
+
 void ServiceRouter::trust(Entry &entry)
 {
     if (entry.suspicion.suspect()) {
@@ -203,6 +220,8 @@
         --m_held;
     }
     entry.suspicion.passTrial();
+    entry.failedTrials = 0;
+    entry.assumedColdUntil.reset();
     for (auto &attempt : entry.outstanding) {
         attempt.trial = false;
     }
@@ -213,7 +232,8 @@
     if (!entry.serves) {
         return 0;
     }
-    if (entry.target->condition == targets::Condition::Warm) {
+    const bool assumedCold = entry.assumedColdUntil && now < *entry.assumedColdUntil;
+    if (entry.target->condition == targets::Condition::Warm && !assumedCold) {
         return m_service.slots;
     }
     return m_hooks.coldLimit ? std::min(m_hooks.coldLimit(*entry.target, now), m_service.slots) : m_service.coldSlots;
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -27,12 +27,17 @@
 /** Requests that this host may have at a cold target at once. */
 using ColdLimit = std::function<unsigned(const targets::Target &, core::TimePoint)>;
 
+/** Takes the end of a request, and from when on requests are late. */
+using EndHook =
+    std::function<void(const targets::Target &, const AttemptEnd &, core::Duration lateAfter, core::TimePoint)>;
+
 /** What varies between routers. */
 struct RouterHooks {
     Picker picker;
     /** Without it every host gives a cold target the service's coldSlots. */
     ColdLimit coldLimit;
     core::RandomSource random;
+    EndHook onEnd;
 };
 
 /** A request that was given to a target. Ends with one release. */
@@ -47,12 +52,15 @@
     bool suspect = false;
     /** Suspect, and without work but for trials. */
     bool held = false;
+    /** Taken to be cold, though it says that it is warm. */
+    bool assumedCold = false;
 };
 
 /**
  * Counts this host's requests at each target exactly, and assigns only to targets that serve, in domains that are not
  * out, below their limit. At most half of the serving targets are held at once: further suspects stay in use, after
- * every target that is trusted. Not thread-safe.
+ * every target that is trusted. A target whose trials go wrong time after time is taken to have turned cold for the
+ * service's warm-up, or until a trial goes well. Not thread-safe.
  */
 class ServiceRouter
 {
@@ -92,12 +100,15 @@
         bool serves = false;
         bool near = false;
         bool held = false;
+        unsigned failedTrials = 0;
+        std::optional<core::TimePoint> assumedColdUntil;
     };
 
     void refresh(Entry &entry) const;
     void setHeld(Entry &entry);
     void noticeLate(Entry &entry, core::TimePoint now);
     void learn(Entry &entry, const Outstanding &attempt, const AttemptEnd &end, core::TimePoint now);
+    void failTrial(Entry &entry, core::TimePoint now);
     void trust(Entry &entry);
     unsigned limit(const Entry &entry, core::TimePoint now) const;
     core::Duration expectedLatency(const Entry &entry) const;
--- a/tests/routing/fixture.h
+++ b/tests/routing/fixture.h
@@ -39,7 +39,7 @@
 inline ServiceRouter makeRouter(unsigned targets, PickerKind kind = PickerKind::LeastExpectedTime, unsigned slots = 3)
 {
     ServiceRouter router(
-        makeService(slots), core::FailureDomain("ravne"), {makePicker(kind), nullptr, core::seededRandom(7)});
+        makeService(slots), core::FailureDomain("ravne"), {makePicker(kind), nullptr, core::seededRandom(7), nullptr});
     for (unsigned i = 0; i < targets; ++i) {
         router.update(makeTarget("t" + std::to_string(i)));
     }
--- /dev/null
+++ b/tests/targets/coldramp.cpp
@@ -0,0 +1,55 @@
+#include "targets/coldramp.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using namespace std::chrono_literals;
+using targets::ColdRamp;
+using targets::ColdTerms;
+
+namespace
+{
+
+const core::TimePoint Start{};
+
+void finishGood(ColdRamp &ramp, unsigned count, core::TimePoint now)
+{
+    for (unsigned i = 0; i < count; ++i) {
+        ramp.finish(true, now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a gained target is full until the old requests' deadline or its own word")
+{
+    ColdRamp ramp({2, 6, 10s, 1s, true}, Start);
+    CHECK(ramp.limit(Start) == 0);
+    ramp.reportForeign(1);
+    CHECK(ramp.limit(Start) == 1);
+    ramp.reportForeign(5);
+    CHECK(ramp.limit(Start) == 1);
+    CHECK(ramp.limit(Start + 1s) == 2);
+}
+
+TEST_CASE("nothing is guessed for a target that announces that it is warm")
+{
+    ColdRamp ramp({2, 6, 10s, 1s, true}, Start);
+    finishGood(ramp, 1000, Start + 60s);
+    CHECK(ramp.limit(Start + 60s) == 2);
+}
+
+TEST_CASE("a silent target's share grows with time and good requests and falls with a bad one")
+{
+    ColdRamp ramp({1, 6, 10s, 1s, false}, Start);
+    finishGood(ramp, 100, Start + 5s);
+    CHECK(ramp.limit(Start + 5s) == 1);
+    finishGood(ramp, 1, Start + 10s);
+    CHECK(ramp.limit(Start + 10s) == 2);
+    finishGood(ramp, 8 + 16, Start + 11s);
+    CHECK(ramp.limit(Start + 11s) == 6);
+    ramp.finish(false, Start + 12s);
+    CHECK(ramp.limit(Start + 12s) == 1);
+    finishGood(ramp, 100, Start + 21s);
+    CHECK(ramp.limit(Start + 21s) == 1);
+}
