Decide retries, hedges and probes within their budgets

Cause: no attempt was ever repeated, and probes had no budget. Ruled out: a retry budget for a span of time, which lets a storm through at each start of a span; dividing the probe rate by the number of hosts, which goes wrong while hosts disagree on it. Conclusion: pure decisions and their tests; the entry host doesn't call them yet.

--- /dev/null
+++ b/src/requests/retrybudget.h
@@ -0,0 +1,41 @@
+/**
+ * @file
+ * How many retries and hedges one service may have at this host.
+ */
+#pragma once
+
+#include "core/rankedmutex.h"
+
+namespace pimentoshed::requests
+{
+
+/**
+ * Each first try adds the service's ratio to a balance, each retry or hedge takes one from it: over any time that
+ * starts with this host, repeats are at most that share of first tries. The balance is bounded, so that a calm hour
+ * doesn't pay for a storm. Thread-safe; rank Requests.
+ */
+class RetryBudget
+{
+public:
+    explicit RetryBudget(double ratio);
+
+    /** Takes a new ratio; what is saved stays within its bound. */
+    void configure(double ratio);
+
+    void noteFirstTry();
+
+    /** Whether a repeat is paid for. */
+    bool take();
+
+    /** Gives back what a repeat took that was never sent. */
+    void giveBack();
+
+private:
+    double bound() const;
+
+    core::RankedMutex m_mutex{core::LockRank::Requests};
+    double m_ratio;
+    double m_balance = 0;
+};
+
+} // namespace pimentoshed::requests
--- /dev/null
+++ b/tests/requests/probebudget.cpp
@@ -0,0 +1,48 @@
+#include "requests/probebudget.h"
+
+#include "core/random.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using namespace std::chrono_literals;
+using requests::ProbeBudget;
+
+namespace
+{
+
+const core::TimePoint Start{};
+const core::TargetId Target("t1");
+constexpr double PerSecond = 2;
+
+} // namespace
+
+TEST_CASE("only the owner probes, at the rate")
+{
+    ProbeBudget budget;
+    unsigned probes = 0;
+    for (auto now = Start; now < Start + 10s; now += 10ms) {
+        probes += budget.take(Target, PerSecond, true, now) ? 1 : 0;
+        CHECK_FALSE(budget.take(core::TargetId("t2"), PerSecond, false, now));
+    }
+    CHECK(probes == 19);
+}
+
+TEST_CASE("handovers add no probes")
+{
+    std::array<ProbeBudget, 17> hosts;
+    const auto random = core::seededRandom(11);
+    std::size_t owner = 0;
+    unsigned probes = 0;
+    for (auto now = Start; now < Start + 60s; now += 10ms) {
+        if (core::below(random, 40) == 0) {
+            owner = core::below(random, hosts.size());
+        }
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            probes += hosts[i].take(Target, PerSecond, i == owner, now) ? 1 : 0;
+        }
+    }
+    CHECK(probes > 10);
+    CHECK(probes <= 120);
+}
--- /dev/null
+++ b/tests/requests/retrybudget.cpp
@@ -0,0 +1,47 @@
+#include "requests/retrybudget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using requests::RetryBudget;
+
+namespace
+{
+
+unsigned takeAll(RetryBudget &budget)
+{
+    unsigned taken = 0;
+    while (budget.take()) {
+        ++taken;
+    }
+    return taken;
+}
+
+} // namespace
+
+TEST_CASE("repeats are at most their share of first tries")
+{
+    RetryBudget budget(0.1);
+    CHECK(takeAll(budget) == 0);
+    for (unsigned i = 0; i < 50; ++i) {
+        budget.noteFirstTry();
+    }
+    CHECK(takeAll(budget) == 5);
+}
+
+TEST_CASE("a calm time doesn't pay for a storm")
+{
+    RetryBudget budget(0.1);
+    for (unsigned i = 0; i < 100000; ++i) {
+        budget.noteFirstTry();
+    }
+    CHECK(takeAll(budget) == 10);
+}
+
+TEST_CASE("no ratio, no repeats")
+{
+    RetryBudget budget(0);
+    budget.noteFirstTry();
+    budget.giveBack();
+    CHECK(takeAll(budget) == 0);
+}
