Replay several hosts' decisions against traces

Cause: no figure told which way of choosing a target is better, and invariants were tested one decision at a time. Ruled out: a cluster simulator; this is one event loop over the real decisions and a fake target with slots.

--- a/bench/routing/router.cpp
+++ b/bench/routing/router.cpp
@@ -20,7 +20,7 @@
 struct Setting {
     Setting(std::size_t targetCount, std::size_t serviceCount)
         : router(core::FailureDomain("ravne"),
-                 {routing::makePicker(routing::PickerKind::LeastExpectedTime), nullptr, threadRandom(), nullptr})
+                 {routing::makePicker(routing::PickerKind::LeastExpectedTime), nullptr, threadRandom(), nullptr, true})
     {
         configuration::Configuration configuration;
         for (std::size_t i = 0; i < serviceCount; ++i) {
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -45,7 +45,7 @@
     explicit Impl(const EntrySettings &settings)
         : m_settings(settings)
         , m_incarnation(makeIncarnation())
-        , m_router(settings.domain, {routing::makePicker(settings.picker), nullptr, threadRandom(), nullptr})
+        , m_router(settings.domain, {routing::makePicker(settings.picker), nullptr, threadRandom(), nullptr, true})
         , m_targets([this](const auto &target) {
             m_router.update(target);
         })
--- /dev/null
+++ b/src/replay/trace.h
@@ -0,0 +1,75 @@
+/**
+ * @file
+ * A trace: what happened around the system, in order of time, as decisions are replayed against it.
+ */
+#pragma once
+
+#include "configuration/model.h"
+#include "core/ids.h"
+#include "core/time.h"
+#include "targets/target.h"
+
+#include <variant>
+#include <vector>
+
+namespace pimentoshed::replay
+{
+
+/** A caller's request reaches an entry host. */
+struct RequestArrives {
+    std::size_t host = 0;
+    bool idempotent = true;
+    /** Time that a warm target needs for it. */
+    core::Duration work{};
+};
+
+/** A target works @c slowdown times slower for a while. */
+struct TargetStraggles {
+    core::TargetId target;
+    core::Duration length{};
+    double slowdown = 1;
+};
+
+/** A target refuses everything at once for a while. */
+struct TargetFailsFast {
+    core::TargetId target;
+    core::Duration length{};
+};
+
+/** A target reports this load from now on, whatever it has. */
+struct TargetMisreports {
+    core::TargetId target;
+    unsigned load = 0;
+};
+
+/** A target's condition changes, and it says so. */
+struct TargetChanges {
+    core::TargetId target;
+    targets::Condition condition = targets::Condition::Warm;
+};
+
+/** Operators take a failure domain out or return it. */
+struct DomainMoves {
+    core::FailureDomain domain;
+    bool out = false;
+};
+
+/** One event and when it comes. */
+struct Event {
+    core::TimePoint at{};
+    std::variant<RequestArrives, TargetStraggles, TargetFailsFast, TargetMisreports, TargetChanges, DomainMoves> what;
+};
+
+/** One service, its targets, the entry hosts, and what happens, in order of time. */
+struct Trace {
+    configuration::Service service;
+    std::vector<targets::Target> targets;
+    /** The failure domain of each entry host. */
+    std::vector<core::FailureDomain> hosts;
+    /** One way within a failure domain, and between two. */
+    core::Duration nearDelay{};
+    core::Duration farDelay{};
+    std::vector<Event> events;
+};
+
+} // namespace pimentoshed::replay
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -161,7 +161,7 @@
 
 void ServiceRouter::noticeLate(Entry &entry, core::TimePoint now)
 {
-    if (entry.suspicion.suspect() || entry.outstanding.empty() || !m_latency.known()) {
+    if (!m_hooks.suspects || entry.suspicion.suspect() || entry.outstanding.empty() || !m_latency.known()) {
         return;
     }
     if (now - entry.outstanding.front().start > m_latency.lateAfter()) {
@@ -191,6 +191,9 @@
         m_latency.add(end.latency);
         (entry.near ? m_nearLatency : m_farLatency).add(end.latency);
     }
+    if (!m_hooks.suspects) {
+        return;
+    }
     if (good && attempt.trial) {
         trust(entry);
     } else if (!good && attempt.trial) {
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -38,6 +38,8 @@
     ColdLimit coldLimit;
     core::RandomSource random;
     EndHook onEnd;
+    /** Whether late and failing targets lose work; the baselines run without. */
+    bool suspects = true;
 };
 
 /** A request that was given to a target. Ends with one release. */
--- /dev/null
+++ b/tests/replay/replay.cpp
@@ -0,0 +1,102 @@
+#include "replay/replay.h"
+
+#include "replay/workload.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using namespace std::chrono_literals;
+using targets::Condition;
+
+namespace
+{
+
+template<typename What>
+void add(replay::Trace &trace, core::Duration at, What what)
+{
+    trace.events.push_back({core::TimePoint(at), what});
+}
+
+replay::Trace sorted(replay::Trace trace)
+{
+    std::stable_sort(trace.events.begin(), trace.events.end(), [](const auto &left, const auto &right) {
+        return left.at < right.at;
+    });
+    return trace;
+}
+
+replay::Trace makeTrace(std::uint64_t seed)
+{
+    replay::Workload workload;
+    workload.length = 4s;
+    workload.load = 0.3;
+    return replay::makeTrace(workload, seed);
+}
+
+const core::TargetId First("target-0");
+const core::TargetId Second("target-1");
+
+void checkAll(const replay::Trace &trace)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const auto summary = replay::run(sorted(trace), {}, seed);
+        INFO("seed " << seed);
+        for (const auto &[invariant, count] : summary.violations) {
+            UNSCOPED_INFO(core::nameOf(replay::InvariantNames, invariant) << ": " << count);
+        }
+        CHECK(summary.violations.empty());
+        CHECK(summary.answered + summary.refused == summary.requests);
+        CHECK(summary.refused * 100 < summary.requests);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a domain is taken out and returned full of cold targets")
+{
+    auto trace = makeTrace(1);
+    const core::FailureDomain mezica("mezica");
+    add(trace, 1s, replay::DomainMoves{mezica, true});
+    for (const auto &target : trace.targets) {
+        if (target.domain == mezica) {
+            add(trace, 2s, replay::TargetChanges{target.id, Condition::Cold});
+            add(trace, 3500ms, replay::TargetChanges{target.id, Condition::Warm});
+        }
+    }
+    // Every host knows that they are cold before the domain returns.
+    add(trace, 2s + replay::WordBound, replay::DomainMoves{mezica, false});
+    checkAll(trace);
+}
+
+TEST_CASE("targets leave, fail fast and misreport")
+{
+    auto trace = makeTrace(2);
+    add(trace, 1s, replay::TargetChanges{First, Condition::Leaving});
+    add(trace, 2s, replay::TargetFailsFast{Second, 1s});
+    add(trace, 0s, replay::TargetMisreports{core::TargetId("target-2"), 0});
+    add(trace, 0s, replay::TargetMisreports{core::TargetId("target-3"), 1000});
+    checkAll(trace);
+}
+
+TEST_CASE("non-idempotent requests run at most once while targets fail")
+{
+    auto trace = makeTrace(3);
+    for (auto &event : trace.events) {
+        if (auto *arrival = std::get_if<replay::RequestArrives>(&event.what)) {
+            arrival->idempotent = false;
+        }
+    }
+    add(trace, 1s, replay::TargetFailsFast{First, 2s});
+    add(trace, 1s, replay::TargetFailsFast{Second, 2s});
+    checkAll(trace);
+}
+
+TEST_CASE("a replay is the same for the same trace and seed")
+{
+    const auto trace = makeTrace(4);
+    const auto first = replay::run(trace, {}, 5);
+    const auto second = replay::run(trace, {}, 5);
+    CHECK(first.latencies == second.latencies);
+    CHECK(first.messages == second.messages);
+}
--- a/tests/routing/fixture.h
+++ b/tests/routing/fixture.h
@@ -38,8 +38,9 @@
 
 inline ServiceRouter makeRouter(unsigned targets, PickerKind kind = PickerKind::LeastExpectedTime, unsigned slots = 3)
 {
-    ServiceRouter router(
-        makeService(slots), core::FailureDomain("ravne"), {makePicker(kind), nullptr, core::seededRandom(7), nullptr});
+    ServiceRouter router(makeService(slots),
+                         core::FailureDomain("ravne"),
+                         {makePicker(kind), nullptr, core::seededRandom(7), nullptr, true});
     for (unsigned i = 0; i < targets; ++i) {
         router.update(makeTarget("t" + std::to_string(i)));
     }
