Notice a silent target early, and hedge in the replay

Cause: at exponential work a straggler was noticed after five mean times; the replay left out hedges, so the last thousandth of requests was the straggler's. Ruled out: a lower bound for late attempts, which holds sound targets.

--- /dev/null
+++ b/src/replay/host.cpp
@@ -0,0 +1,68 @@
+#include "replay/host.h"
+
+#include <string>
+
+namespace pimentoshed::replay
+{
+
+namespace
+{
+
+constexpr std::size_t HostLimit = 10000;
+
+std::shared_ptr<const configuration::Configuration> configurationOf(const Trace &trace)
+{
+    configuration::Configuration configuration;
+    configuration.institutions.push_back({trace.service.institution, 1});
+    configuration.services.push_back(trace.service);
+    return std::make_shared<const configuration::Configuration>(configuration);
+}
+
+routing::RouterHooks makeHooks(routing::ColdTargets &cold, const Policy &policy, const core::RandomSource &random)
+{
+    routing::RouterHooks hooks;
+    hooks.picker = routing::makePicker(policy.picker);
+    hooks.coldLimit = [&cold](const auto &target, core::TimePoint now) {
+        return cold.limit(target, now);
+    };
+    hooks.random = random;
+    hooks.onEnd = [&cold](const auto &target, const auto &end, core::Duration lateAfter, core::TimePoint now) {
+        cold.finish(target, end, lateAfter, now);
+    };
+    hooks.suspects = policy.suspects;
+    return hooks;
+}
+
+} // namespace
+
+core::HostId hostId(std::size_t index)
+{
+    return core::HostId("entry-" + std::to_string(index));
+}
+
+Host makeHost(const Trace &trace, std::size_t index, const Policy &policy, const core::RandomSource &random)
+{
+    const auto configuration = configurationOf(trace);
+    Host host;
+    host.domain = trace.hosts[index];
+    host.cold = std::make_unique<routing::ColdTargets>(hostId(index), 1);
+    host.cold->configure(configuration);
+    host.queue = std::make_unique<admission::Queue>(HostLimit);
+    host.queue->configure(*configuration);
+    host.budget = std::make_unique<requests::RetryBudget>(trace.service.retryRatio);
+    host.router =
+        std::make_unique<routing::ServiceRouter>(trace.service, host.domain, makeHooks(*host.cold, policy, random));
+    for (const auto &target : trace.targets) {
+        tell(host, target, policy);
+    }
+    return host;
+}
+
+void tell(Host &host, const targets::Target &target, const Policy &policy)
+{
+    if (policy.placement == Placement::Shared || target.domain == host.domain) {
+        host.router->update(target);
+    }
+}
+
+} // namespace pimentoshed::replay
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -32,6 +32,7 @@
     bool suspects = true;
     /** Whether requests wait at the hosts for room. */
     bool queues = true;
+    bool hedges = true;
 };
 
 /** What must hold at every step. */
--- a/src/routing/latency.cpp
+++ b/src/routing/latency.cpp
@@ -13,6 +13,8 @@
 constexpr double DeviationGain = 1.0 / 16;
 constexpr double DeviationsUntilLate = 4;
 constexpr double MeansUntilLate = 2;
+/** Mean latencies, summed over the attempts in flight, without one end among them. */
+constexpr double MeansUntilSilent = 8;
 /** Below this, scheduling at the hosts matters more than the target. */
 constexpr core::Duration LateFloor = std::chrono::milliseconds(2);
 
@@ -46,4 +48,13 @@
     return std::max(LateFloor, core::Duration(static_cast<core::Duration::rep>(late)));
 }
 
+core::Duration LatencyEstimate::silentAfter(std::size_t inFlight) const
+{
+    if (!m_known || inFlight == 0) {
+        return core::Duration::max();
+    }
+    const double silent = std::max(m_mean + m_deviation / 2, MeansUntilSilent * m_mean / static_cast<double>(inFlight));
+    return std::max(LateFloor, core::Duration(static_cast<core::Duration::rep>(silent)));
+}
+
 } // namespace pimentoshed::routing
--- a/src/routing/latency.h
+++ b/src/routing/latency.h
@@ -6,6 +6,8 @@
 
 #include "core/time.h"
 
+#include <cstddef>
+
 namespace pimentoshed::routing
 {
 
@@ -27,6 +29,9 @@
     /** An attempt older than this is late. The longest duration where nothing is known yet. */
     core::Duration lateAfter() const;
 
+    /** A target with @p inFlight attempts that ends none of them for longer than this is late as a whole. */
+    core::Duration silentAfter(std::size_t inFlight) const;
+
 private:
     bool m_known = false;
     double m_mean = 0;
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -105,6 +105,7 @@
     }
     const auto ended = *attempt;
     entry.outstanding.erase(attempt);
+    entry.lastEnd = now;
     // An answer of an earlier incarnation says nothing of this one.
     if (assignment.target->word.incarnation == entry.target->word.incarnation) {
         learn(entry, ended, end, now);
@@ -164,7 +165,10 @@
     if (!m_hooks.suspects || entry.suspicion.suspect() || entry.outstanding.empty() || !m_latency.known()) {
         return;
     }
-    if (now - entry.outstanding.front().start > m_latency.lateAfter()) {
+    const auto oldest = entry.outstanding.front().start;
+    const bool late = now - oldest > m_latency.lateAfter();
+    const bool silent = now - std::max(oldest, entry.lastEnd) > m_latency.silentAfter(entry.outstanding.size());
+    if (late || silent) {
         entry.suspicion.raise(now, m_latency.mean());
         ++m_suspects;
         setHeld(entry);
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -102,6 +102,7 @@
         bool serves = false;
         bool near = false;
         bool held = false;
+        core::TimePoint lastEnd{};
         unsigned failedTrials = 0;
         std::optional<core::TimePoint> assumedColdUntil;
     };
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -99,6 +99,27 @@
     CHECK(router.status(Bad).held);
 }
 
+TEST_CASE("a full target that ends none of its requests loses work before any of them is late")
+{
+    auto router = makeRouter(4, routing::PickerKind::LeastExpectedTime, 6);
+    core::TimePoint now = Start;
+    for (unsigned i = 0; i < 400; ++i) {
+        const auto assignment = core::value(router.assign(now));
+        router.release(assignment, {AttemptOutcome::Answered, i % 2 == 0 ? 1ms : 9ms, {}}, now += 1ms);
+    }
+    while (router.inFlight() < 23) {
+        router.assign(now);
+    }
+    now += 8ms;
+    CHECK(router.latency().lateAfter() > 8ms);
+    router.assign(now);
+    unsigned suspects = 0;
+    for (const auto *id : {"t0", "t1", "t2", "t3"}) {
+        suspects += router.status(core::TargetId(id)).suspect ? 1 : 0;
+    }
+    CHECK(suspects >= 3);
+}
+
 TEST_CASE("a good trial gives a held target its share back")
 {
     auto router = makeRouter(4);
