--- a/src/targets/targettable.cpp
+++ b/src/targets/targettable.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+TargetTable::TargetTable(ChangeHook onChange)
+    : m_onChange(std::move(onChange))
+{
+}
+
 Reception TargetTable::announce(Target target, core::TimePoint leaseEnd)
 {
     const core::Lock lock(m_mutex);
@@ -73,6 +78,7 @@
         entry.leaseEnd.reset();
         entry.target.condition = Condition::Gone;
         ++entry.target.word.leaseEpoch;
+        tell(entry.target);
         expired.push_back(entry.target);
     }
     return expired;
@@ -127,12 +133,21 @@
         m_byService[target.service].push_back(target.id);
     }
     entry = Entry{target, leaseEnd};
+    tell(target);
 }
 
 void TargetTable::insert(const Target &target, std::optional<core::TimePoint> leaseEnd)
 {
     m_entries.emplace(target.id, Entry{target, leaseEnd});
     m_byService[target.service].push_back(target.id);
+    tell(target);
+}
+
+void TargetTable::tell(const Target &target) const
+{
+    if (m_onChange) {
+        m_onChange(target);
+    }
 }
 
 } // namespace pimentoshed::targets
