Expose the metrics of each role

Ruled out: /proc/PID/net, which is not per process; civetweb, as the hosts serve HTTP already. Gauges are read from what the state dump reads, so the two can't drift; counters come from hooks at the fronts, the follower and the rpc hooks.

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -7,6 +7,8 @@
 #include "core/workerpool.h"
 #include "http/server.h"
 #include "rpc/codec.h"
+#include "telemetry/exposition.h"
+#include "telemetry/revisionclock.h"
 
 #include <chrono>
 #include <random>
@@ -45,6 +47,9 @@
 
     core::Status start()
     {
+        m_metrics.beforeExposition([this](telemetry::Registry &metrics) {
+            measure(metrics);
+        });
         OperatorHooks hooks;
         hooks.change = [this](const changes::Change &change) {
             return apply(change);
@@ -60,7 +65,7 @@
         };
         auto http = http::Server::Builder(m_pool.context())
                         .address(m_settings.operatorListen)
-                        .handler(operatorHandler(m_settings.id, std::move(hooks)))
+                        .handler(telemetry::withMetrics(m_metrics, operatorHandler(m_settings.id, std::move(hooks))))
                         .start();
         if (!core::ok(http)) {
             return core::error(http);
@@ -97,15 +102,47 @@
         rpc::ControlHooks hooks;
         hooks.follow = [this](const rpc::FollowRequest &request, const rpc::Respond<rpc::FollowReply> &respond) {
             m_hub.hear(rpc::decode(request.host()), m_timers.now());
-            m_desk.take(request, respond, m_timers.now());
+            count(telemetry::ControlMessage::FollowRequest, telemetry::Direction::In, request);
+            m_desk.take(request, countedReply(respond), m_timers.now());
         };
         hooks.report = [this](const rpc::ReportRequest &request, const rpc::Respond<rpc::ReportReply> &respond) {
+            count(telemetry::ControlMessage::ReportRequest, telemetry::Direction::In, request);
             learn(request);
-            respond({});
+            const rpc::ReportReply reply;
+            count(telemetry::ControlMessage::ReportReply, telemetry::Direction::Out, reply);
+            respond(reply);
         };
         return hooks;
     }
 
+    template<typename Message>
+    void count(telemetry::ControlMessage kind, telemetry::Direction direction, const Message &message)
+    {
+        m_metrics.countMessage(kind, direction, message.ByteSizeLong());
+    }
+
+    rpc::Respond<rpc::FollowReply> countedReply(const rpc::Respond<rpc::FollowReply> &respond)
+    {
+        return [this, respond](const rpc::FollowReply &reply) {
+            count(telemetry::ControlMessage::FollowReply, telemetry::Direction::Out, reply);
+            respond(reply);
+        };
+    }
+
+    /** Sets the gauges from what the state dump reads too. */
+    void measure(telemetry::Registry &metrics)
+    {
+        metrics.set(telemetry::Metric::Revision, {}, static_cast<double>(standing().revision));
+        metrics.set(telemetry::Metric::RevisionAge, {}, core::toSeconds(m_revisionClock.age(m_timers.now())));
+        metrics.set(telemetry::Metric::EntryHosts, {}, static_cast<double>(m_hub.hosts().size()));
+        metrics.set(telemetry::Metric::HeldFollowCalls, {}, static_cast<double>(m_desk.heldCount()));
+        for (const auto &row : targets::ConditionNames) {
+            metrics.set(telemetry::Metric::Targets,
+                        {{"condition", std::string(row.name)}},
+                        static_cast<double>(m_hub.targetCount(row.value)));
+        }
+    }
+
     void learn(const rpc::ReportRequest &request)
     {
         for (const auto &message : request.changes()) {
@@ -123,6 +160,7 @@
 
     void serve()
     {
+        m_revisionClock.note(standing().revision, m_timers.now());
         m_hub.forgetSilent(m_timers.now() - SilentPeriod);
         m_desk.serve(m_timers.now());
     }
@@ -149,6 +187,8 @@
     const ControlSettings m_settings;
     core::RankedMutex m_mutex{core::LockRank::Replica};
     changes::Ledger m_ledger;
+    telemetry::Registry m_metrics;
+    telemetry::RevisionClock m_revisionClock;
     membership::Hub m_hub;
     core::WorkerPool m_pool;
     core::TimerService m_timers;
--- a/src/control/followdesk.cpp
+++ b/src/control/followdesk.cpp
@@ -32,6 +32,12 @@
     return true;
 }
 
+std::size_t FollowDesk::heldCount() const
+{
+    const core::Lock lock(m_mutex);
+    return m_held.size();
+}
+
 void FollowDesk::close()
 {
     {
--- a/src/control/followdesk.h
+++ b/src/control/followdesk.h
@@ -37,6 +37,8 @@
     /** Answers every call held, and from now on each at once. */
     void close();
 
+    std::size_t heldCount() const;
+
 private:
     struct Held {
         rpc::FollowRequest request;
@@ -51,7 +53,7 @@
     std::uint64_t positionOf(const rpc::FollowRequest &request) const;
 
     const Sources m_sources;
-    core::RankedMutex m_mutex{core::LockRank::Connections};
+    mutable core::RankedMutex m_mutex{core::LockRank::Connections};
     std::vector<Held> m_held;
     bool m_closed = false;
 };
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -68,13 +68,18 @@
         const auto standing = m_parts.view.current(m_parts.timers.now());
         if (!core::ok(standing)) {
             exchange.send(refusal({RunState::NotRun, core::error(standing)}));
+            m_parts.ended({{}, core::error(standing).code, {}, {}});
             return;
         }
         if (exchange.path() == AddressesPath) {
             exchange.send(addresses(exchange, *core::value(standing)));
             return;
         }
-        serve(exchange, *core::value(standing));
+        telemetry::RequestEnd end;
+        const auto started = m_parts.timers.now();
+        serve(exchange, *core::value(standing), end);
+        end.duration = m_parts.timers.now() - started;
+        m_parts.ended(end);
     }
 
 private:
@@ -88,30 +93,35 @@
         return http::jsonReply(status::ok, {{"keep_ms", keep}, {"addresses", chosen}});
     }
 
-    void serve(http::Exchange &exchange, const changes::Standing &standing) const
+    void serve(http::Exchange &exchange, const changes::Standing &standing, telemetry::RequestEnd &end) const
     {
         const auto *service = configuration::serviceForPath(*standing.configuration, exchange.path());
         if (service == nullptr) {
+            end.failure = ErrorCode::NoSuchService;
             exchange.send(notRun(ErrorCode::NoSuchService, std::string(exchange.path())));
             return;
         }
+        end.service = service->name.str();
         const bool idempotent = configuration::isIdempotent(*service, exchange.method());
         if (!idempotent && exchange.header(service->requestKeyHeader).empty()) {
+            end.failure = ErrorCode::RequestKeyMissing;
             exchange.send(notRun(ErrorCode::RequestKeyMissing, service->requestKeyHeader));
             return;
         }
         const auto assignment =
             m_parts.router.assign(*service, m_parts.targets.ofService(service->name), outDomains(standing));
         if (!core::ok(assignment)) {
+            end.failure = core::error(assignment).code;
             exchange.send(refusal({RunState::NotRun, core::error(assignment)}));
             return;
         }
-        pass(exchange, *service, core::value(assignment));
+        pass(exchange, *service, core::value(assignment), end);
     }
 
     void pass(http::Exchange &exchange,
               const configuration::Service &service,
-              const routing::Assignment &assignment) const
+              const routing::Assignment &assignment,
+              telemetry::RequestEnd &end) const
     {
         http::RelayTerms terms;
         terms.address = assignment.address;
@@ -120,9 +130,11 @@
         terms.shedIsNotRun = service.shedIsNotRun;
         const auto result = http::relay(exchange, m_parts.connections, terms);
         m_parts.router.release(assignment.target);
+        end.waited = result.waited;
         if (!result.outcome.failure) {
             return;
         }
+        end.failure = result.outcome.failure->code;
         core::log(core::LogLevel::Info,
                   "attempt-failed",
                   {{"target", assignment.target.str()}, {"error", describe(*result.outcome.failure)}});
--- a/src/entry/callerfront.h
+++ b/src/entry/callerfront.h
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "routing/router.h"
 #include "targets/targettable.h"
+#include "telemetry/registry.h"
 
 #include <functional>
 
@@ -26,6 +27,8 @@
     core::RandomSource random;
     /** Whether this host no longer gives out addresses. */
     std::function<bool()> stopping;
+    /** Hears of each request that ended. */
+    std::function<void(const telemetry::RequestEnd &)> ended;
 };
 
 /** The handler for an entry host's caller address. docs/INTERFACES.md lists what it serves. */
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -6,7 +6,10 @@
 #include "entry/callerfront.h"
 #include "entry/follower.h"
 #include "entry/targetfront.h"
+#include "telemetry/exposition.h"
+#include "telemetry/revisionclock.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -55,7 +58,8 @@
                                                                 m_targets,
                                                                 [this]() {
                                                                     return self();
-                                                                }},
+                                                                },
+                                                                trafficHook()},
                                                 settings.controlAddresses))
     {
     }
@@ -107,6 +111,9 @@
 private:
     core::Status listen()
     {
+        m_metrics.beforeExposition([this](telemetry::Registry &metrics) {
+            measure(metrics);
+        });
         auto callers = http::Server::Builder(m_pool.context())
                            .address(m_settings.callerListen)
                            .handler(callerHandler({m_view,
@@ -117,6 +124,9 @@
                                                    threadRandom(),
                                                    [this]() {
                                                        return m_stopping.load();
+                                                   },
+                                                   [this](const telemetry::RequestEnd &end) {
+                                                       m_metrics.countRequest(end);
                                                    }}))
                            .start();
         if (!core::ok(callers)) {
@@ -125,18 +135,20 @@
         m_callers = core::value(callers);
         auto platform = http::Server::Builder(m_pool.context())
                             .address(m_settings.platformListen)
-                            .handler(targetHandler({m_view,
-                                                    m_targets,
-                                                    m_timers,
-                                                    [this]() {
-                                                        return self();
-                                                    },
-                                                    [this](const auto &target) {
-                                                        m_follower->report(target);
-                                                    },
-                                                    [this]() {
-                                                        return m_callers->inProgress();
-                                                    }}))
+                            .handler(telemetry::withMetrics(m_metrics,
+                                                            targetHandler({m_view,
+                                                                           m_targets,
+                                                                           m_timers,
+                                                                           [this]() {
+                                                                               return self();
+                                                                           },
+                                                                           [this](const auto &target) {
+                                                                               m_follower->report(target);
+                                                                           },
+                                                                           [this]() {
+                                                                               return m_callers->inProgress();
+                                                                           },
+                                                                           trafficHook()})))
                             .start();
         if (!core::ok(platform)) {
             return core::error(platform);
@@ -150,8 +162,34 @@
         return {m_settings.id, m_settings.domain, m_settings.callerListen, m_incarnation, m_stopping};
     }
 
+    std::function<void(telemetry::ControlMessage, telemetry::Direction, std::size_t)> trafficHook()
+    {
+        return [this](telemetry::ControlMessage kind, telemetry::Direction direction, std::size_t bytes) {
+            m_metrics.countMessage(kind, direction, bytes);
+        };
+    }
+
+    /** Sets the gauges from what the state dump reads too. */
+    void measure(telemetry::Registry &metrics) const
+    {
+        const auto now = m_timers.now();
+        metrics.set(telemetry::Metric::RequestsInProgress, {}, static_cast<double>(m_callers->inProgress()));
+        metrics.set(telemetry::Metric::Revision, {}, static_cast<double>(m_view.revision()));
+        metrics.set(telemetry::Metric::RevisionAge, {}, core::toSeconds(m_revisionClock.age(now)));
+        metrics.set(telemetry::Metric::Current, {}, core::ok(m_view.current(now)) ? 1 : 0);
+        metrics.set(telemetry::Metric::EntryHosts, {}, static_cast<double>(m_view.hosts().size()));
+        const auto known = m_targets.all();
+        for (const auto &row : targets::ConditionNames) {
+            const auto count = std::count_if(known.begin(), known.end(), [&row](const targets::Target &target) {
+                return target.condition == row.value;
+            });
+            metrics.set(telemetry::Metric::Targets, {{"condition", std::string(row.name)}}, static_cast<double>(count));
+        }
+    }
+
     void expire()
     {
+        m_revisionClock.note(m_view.revision(), m_timers.now());
         for (const auto &target : m_targets.expire(m_timers.now())) {
             core::log(core::LogLevel::Warning, "target-lease-ended", {{"target", target.id.str()}});
             m_follower->report(target);
@@ -188,6 +226,8 @@
     const std::uint64_t m_incarnation;
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_stopped{false};
+    telemetry::Registry m_metrics;
+    telemetry::RevisionClock m_revisionClock;
     View m_view;
     targets::TargetTable m_targets;
     routing::Router m_router;
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -64,6 +64,7 @@
     request.set_feed_position(m_feedPosition);
     request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
     const auto asked = m_parts.timers.now();
+    m_parts.traffic(telemetry::ControlMessage::FollowRequest, telemetry::Direction::Out, request.ByteSizeLong());
     client()->follow(request, FollowTimeout, [self = shared_from_this(), asked](core::Result<rpc::FollowReply> reply) {
         self->m_parts.pool.post([self, asked, reply = std::move(reply)]() mutable {
             self->take(std::move(reply), asked);
@@ -82,6 +83,8 @@
         later(RetryDelay, &Follower::ask);
         return;
     }
+    m_parts.traffic(
+        telemetry::ControlMessage::FollowReply, telemetry::Direction::In, core::value(reply).ByteSizeLong());
     adopt(core::value(reply), asked);
     ask();
 }
@@ -148,6 +151,7 @@
         }
         m_pending.clear();
     }
+    m_parts.traffic(telemetry::ControlMessage::ReportRequest, telemetry::Direction::Out, request.ByteSizeLong());
     client()->report(request,
                      ReportTimeout,
                      [self = shared_from_this(), sent = std::move(sent)](const core::Result<rpc::ReportReply> &reply) {
@@ -160,6 +164,7 @@
 void Follower::reportEnded(const std::vector<targets::Target> &sent, bool arrived)
 {
     if (arrived) {
+        m_parts.traffic(telemetry::ControlMessage::ReportReply, telemetry::Direction::In, 0);
         sendReports();
         return;
     }
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -10,6 +10,7 @@
 #include "entry/view.h"
 #include "rpc/controlclient.h"
 #include "targets/targettable.h"
+#include "telemetry/metrics.h"
 
 #include <atomic>
 #include <functional>
@@ -31,6 +32,8 @@
         View &view;
         targets::TargetTable &targets;
         std::function<membership::EntryHost()> self;
+        /** Hears of each message with its encoded bytes. */
+        std::function<void(telemetry::ControlMessage, telemetry::Direction, std::size_t)> traffic;
     };
 
     Follower(Parts parts, const std::vector<std::string> &controlAddresses);
--- a/src/entry/targetfront.cpp
+++ b/src/entry/targetfront.cpp
@@ -63,7 +63,9 @@
     void handle(http::Exchange &exchange) const
     {
         if (exchange.path() == "/pimentoshed/v1/targets" && exchange.method() == "POST") {
-            exchange.send(announce(exchange));
+            const auto reply = announce(exchange);
+            m_parts.traffic(telemetry::ControlMessage::AnnouncementReply, telemetry::Direction::Out, reply.body.size());
+            exchange.send(reply);
         } else if (exchange.path() == "/pimentoshed/v1/state") {
             exchange.send(state());
         } else {
@@ -78,6 +80,7 @@
         if (!core::ok(body)) {
             return http::errorReply(status::bad_request, core::error(body));
         }
+        m_parts.traffic(telemetry::ControlMessage::Announcement, telemetry::Direction::In, core::value(body).size());
         auto target = readAnnouncement(core::value(body));
         if (!core::ok(target)) {
             return http::errorReply(status::bad_request, core::error(target));
--- a/src/entry/targetfront.h
+++ b/src/entry/targetfront.h
@@ -8,6 +8,7 @@
 #include "entry/view.h"
 #include "http/server.h"
 #include "targets/targettable.h"
+#include "telemetry/metrics.h"
 
 #include <functional>
 
@@ -23,6 +24,8 @@
     /** Passes a changed word on. */
     std::function<void(const targets::Target &)> report;
     std::function<std::size_t()> inProgress;
+    /** Hears of each announcement and its answer, with the bytes of their bodies. */
+    std::function<void(telemetry::ControlMessage, telemetry::Direction, std::size_t)> traffic;
 };
 
 /** The handler for an entry host's platform address. docs/INTERFACES.md lists what it serves. */
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -180,7 +180,9 @@
             m_answer.skip(true);
         }
         beast::error_code failure;
+        const auto sent = core::steadyNow();
         message::async_read_header(m_connection->socket, m_connection->buffer, m_answer, m_yield[failure]);
+        m_result.waited = core::steadyNow() - sent;
         if (failure) {
             return fail(RunState::Unknown, core::ErrorCode::TargetFailed, failure.message());
         }
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -31,6 +31,8 @@
     bool answered = false;
     /** Whether any of the request's body was taken from the caller, so that it can't be sent again. */
     bool bodyTaken = false;
+    /** From the end of the sending to the head of the answer. */
+    core::Duration waited{};
 };
 
 /** Runs one attempt within the exchange's coroutine. */
--- a/src/membership/hub.cpp
+++ b/src/membership/hub.cpp
@@ -1,5 +1,7 @@
 #include "membership/hub.h"
 
+#include <algorithm>
+
 namespace pimentoshed::membership
 {
 
@@ -84,4 +86,12 @@
     return m_targets.size();
 }
 
+std::size_t Hub::targetCount(targets::Condition condition) const
+{
+    const core::Lock lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [condition](const auto &entry) {
+        return entry.second.target.condition == condition;
+    }));
+}
+
 } // namespace pimentoshed::membership
--- a/src/membership/hub.h
+++ b/src/membership/hub.h
@@ -48,6 +48,8 @@
     std::uint64_t position() const;
     std::vector<EntryHost> hosts() const;
     std::size_t targetCount() const;
+    /** How many of the known targets say @p condition. */
+    std::size_t targetCount(targets::Condition condition) const;
 
 private:
     struct HostEntry {
--- /dev/null
+++ b/src/telemetry/metrics.h
@@ -0,0 +1,134 @@
+/**
+ * @file
+ * The metrics that processes of the system expose, as a table. docs/OPERATIONS.md lists the same names.
+ */
+#pragma once
+
+#include "core/enumtable.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace pimentoshed::telemetry
+{
+
+/** What is measured. */
+enum class Metric : std::uint8_t {
+    Requests,
+    RequestsInProgress,
+    RequestDuration,
+    RequestAdded,
+    Revision,
+    RevisionAge,
+    Current,
+    Targets,
+    EntryHosts,
+    HeldFollowCalls,
+    ControlMessages,
+    ControlBytes,
+    ProcessCpu,
+    ProcessResident,
+};
+
+/** How a metric behaves. */
+enum class MetricKind : std::uint8_t {
+    Counter,
+    Gauge,
+    Histogram,
+};
+
+/** One row of the table of metrics. */
+struct MetricRow {
+    Metric metric;
+    MetricKind kind;
+    std::string_view name;
+    std::string_view help;
+};
+
+/** Every metric, in the order of the enumeration. */
+inline constexpr std::array MetricTable{
+    MetricRow{Metric::Requests,
+              MetricKind::Counter,
+              "pimentoshed_requests_total",
+              "Callers' requests that ended, by service and outcome"},
+    MetricRow{Metric::RequestsInProgress,
+              MetricKind::Gauge,
+              "pimentoshed_requests_in_progress",
+              "Callers' requests in progress"},
+    MetricRow{Metric::RequestDuration,
+              MetricKind::Histogram,
+              "pimentoshed_request_duration_seconds",
+              "From a request's header to the end of its answer"},
+    MetricRow{Metric::RequestAdded,
+              MetricKind::Histogram,
+              "pimentoshed_request_added_seconds",
+              "A request's duration less the wait for the target's answer"},
+    MetricRow{Metric::Revision, MetricKind::Gauge, "pimentoshed_revision", "The revision in force at this host"},
+    MetricRow{Metric::RevisionAge,
+              MetricKind::Gauge,
+              "pimentoshed_revision_age_seconds",
+              "Time since the revision came into force at this host"},
+    MetricRow{Metric::Current,
+              MetricKind::Gauge,
+              "pimentoshed_current",
+              "1 where this host may act on its revision, otherwise 0"},
+    MetricRow{Metric::Targets, MetricKind::Gauge, "pimentoshed_targets", "Known targets by condition"},
+    MetricRow{Metric::EntryHosts, MetricKind::Gauge, "pimentoshed_entry_hosts", "Known entry hosts"},
+    MetricRow{Metric::HeldFollowCalls,
+              MetricKind::Gauge,
+              "pimentoshed_held_follow_calls",
+              "Follow calls of entry hosts that wait for news"},
+    MetricRow{Metric::ControlMessages,
+              MetricKind::Counter,
+              "pimentoshed_control_messages_total",
+              "Messages of control by kind and direction"},
+    MetricRow{Metric::ControlBytes,
+              MetricKind::Counter,
+              "pimentoshed_control_bytes_total",
+              "Encoded bytes of control messages by kind and direction, without the framing of the transport"},
+    MetricRow{Metric::ProcessCpu,
+              MetricKind::Counter,
+              "process_cpu_seconds_total",
+              "Processor time of the process, user and system"},
+    MetricRow{
+        Metric::ProcessResident, MetricKind::Gauge, "process_resident_memory_bytes", "Resident memory of the process"},
+};
+
+/** The row of @p metric. */
+constexpr const MetricRow &rowOf(Metric metric)
+{
+    return MetricTable.at(static_cast<std::size_t>(metric));
+}
+
+/** The kinds of control messages. */
+enum class ControlMessage : std::uint8_t {
+    FollowRequest,
+    FollowReply,
+    ReportRequest,
+    ReportReply,
+    Announcement,
+    AnnouncementReply,
+};
+
+inline constexpr std::array ControlMessageNames{
+    core::EnumName<ControlMessage>{ControlMessage::FollowRequest, "follow-request"},
+    core::EnumName<ControlMessage>{ControlMessage::FollowReply, "follow-reply"},
+    core::EnumName<ControlMessage>{ControlMessage::ReportRequest, "report-request"},
+    core::EnumName<ControlMessage>{ControlMessage::ReportReply, "report-reply"},
+    core::EnumName<ControlMessage>{ControlMessage::Announcement, "announcement"},
+    core::EnumName<ControlMessage>{ControlMessage::AnnouncementReply, "announcement-reply"},
+};
+
+/** Which way a control message went, as this process sees it. */
+enum class Direction : std::uint8_t {
+    In,
+    Out,
+};
+
+inline constexpr std::array DirectionNames{
+    core::EnumName<Direction>{Direction::In, "in"},
+    core::EnumName<Direction>{Direction::Out, "out"},
+};
+
+} // namespace pimentoshed::telemetry
--- /dev/null
+++ b/tests/telemetry/registry.cpp
@@ -0,0 +1,32 @@
+#include "telemetry/registry.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
+
+using namespace pimentoshed;
+
+TEST_CASE("the table of metrics stands in the order of its enumeration")
+{
+    for (std::size_t i = 0; i < telemetry::MetricTable.size(); ++i) {
+        CHECK(static_cast<std::size_t>(telemetry::MetricTable.at(i).metric) == i);
+    }
+}
+
+TEST_CASE("a counter raised to a lower total stays")
+{
+    telemetry::Registry registry;
+    registry.raise(telemetry::Metric::ControlBytes, {}, 12);
+    registry.raise(telemetry::Metric::ControlBytes, {}, 3);
+    CHECK(registry.expose().find("pimentoshed_control_bytes_total 12\n") != std::string::npos);
+}
+
+TEST_CASE("the operators' page lists every metric")
+{
+    std::ifstream stream(PIMENTOSHED_SOURCE "/docs/OPERATIONS.md");
+    const std::string page(std::istreambuf_iterator<char>(stream), {});
+    for (const auto &row : telemetry::MetricTable) {
+        INFO(row.name);
+        CHECK(page.find("`" + std::string(row.name) + "`") != std::string::npos);
+    }
+}
