Measure chains of calls and each part on its own

Cause: the page had no measured chain, and a quieter machine should be able to replace just the wall times.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -2,6 +2,7 @@
  * @file
  * Measures what each role needs as sizes grow and rewrites the generated parts of docs/CAPACITY.md.
  */
+#include "chain.h"
 #include "estimates.h"
 #include "fleets.h"
 #include "load.h"
@@ -9,22 +10,74 @@
 #include "tables.h"
 
 #include <CLI/CLI.hpp>
+#include <cstdlib>
 #include <fmt/format.h>
+#include <optional>
+#include <thread>
 
 namespace bench = pimentoshed::bench;
+namespace core = pimentoshed::core;
 
 namespace
 {
 
-bench::Results measure()
+/** What can be measured on its own. */
+enum class Part : std::uint8_t {
+    Tables,
+    Hop,
+    Chains,
+    Fleets,
+};
+
+constexpr std::array PartNames{
+    core::EnumName<Part>{Part::Tables, "tables"},
+    core::EnumName<Part>{Part::Hop, "hop"},
+    core::EnumName<Part>{Part::Chains, "chains"},
+    core::EnumName<Part>{Part::Fleets, "fleets"},
+};
+
+void measure(Part part, bench::Results &results)
+{
+    switch (part) {
+    case Part::Tables:
+        bench::measureTables(results);
+        break;
+    case Part::Hop:
+        bench::measureHop(results);
+        break;
+    case Part::Chains:
+        bench::measureChains(results);
+        break;
+    case Part::Fleets:
+        bench::measureFleets(results);
+        break;
+    }
+}
+
+/** One line a part: on what it was last measured. */
+std::string describeRun(Part part)
+{
+    double load = 0;
+    getloadavg(&load, 1);
+    return fmt::format("{}: {} build, {} processors, load {:.1f} at its start.\n",
+                       core::nameOf(PartNames, part),
+                       PIMENTOSHED_BUILD_TYPE,
+                       std::thread::hardware_concurrency(),
+                       load);
+}
+
+/** Measures @p part anew; the other results stay. */
+void measureAgain(Part part, const std::string &folder, const std::string &page)
 {
-    bench::Results results;
-    fmt::print("tables and encodings\n");
+    fmt::print("{}\n", core::nameOf(PartNames, part));
     std::fflush(stdout);
-    bench::measureTables(results);
-    bench::measureHop(results);
-    bench::measureFleets(results);
-    return results;
+    const auto run = describeRun(part);
+    bench::Results fresh;
+    measure(part, fresh);
+    auto merged = bench::readResults(folder);
+    merged.replace(fresh);
+    bench::writeResults(merged, folder);
+    bench::rewriteBlock(page, fmt::format("run-{}", core::nameOf(PartNames, part)), run);
 }
 
 void rewritePage(const bench::Results &results, const std::string &page)
@@ -43,16 +96,21 @@
 {
     CLI::App app("Measures capacity on loopback");
     std::string docs;
+    std::string only;
     bool pageOnly = false;
     app.add_option("--docs", docs, "Folder of CAPACITY.md")->required();
+    app.add_option("--only", only, "Measures one part: tables, hop, chains or fleets");
     app.add_flag("--page-only", pageOnly, "Measures nothing; takes the results of the last run");
     CLI11_PARSE(app, argc, argv);
     try {
         const auto folder = docs + "/capacity";
-        if (!pageOnly) {
-            bench::writeResults(measure(), folder);
+        const auto page = docs + "/CAPACITY.md";
+        for (const auto &row : PartNames) {
+            if (!pageOnly && (only.empty() || only == row.name)) {
+                measureAgain(row.value, folder, page);
+            }
         }
-        rewritePage(bench::readResults(folder), docs + "/CAPACITY.md");
+        rewritePage(bench::readResults(folder), page);
     } catch (const std::exception &failure) {
         fmt::print(stderr, "capacity: {}\n", failure.what());
         return 1;
--- a/bench/measures.cpp
+++ b/bench/measures.cpp
@@ -157,6 +157,16 @@
                Dimension::Rate,
                "us",
                "99th percentile through one hop less direct"},
+    MeasureRow{Measure::ChainByDepth,
+               "chain-by-depth",
+               Dimension::Depth,
+               "ms",
+               "median of a chain, each call through one entry host, on new connections"},
+    MeasureRow{Measure::ChainDirectByDepth,
+               "chain-direct-by-depth",
+               Dimension::Depth,
+               "ms",
+               "median of a chain, each call direct, on new connections"},
 };
 
 } // namespace
@@ -203,6 +213,13 @@
     m_points[measure].push_back({size, value});
 }
 
+void Results::replace(const Results &fresh)
+{
+    for (const auto &[measure, points] : fresh.m_points) {
+        m_points[measure] = points;
+    }
+}
+
 const std::map<Measure, std::vector<Point>> &Results::all() const
 {
     return m_points;
--- a/bench/measures.h
+++ b/bench/measures.h
@@ -22,6 +22,7 @@
     Services,
     EntryHosts,
     Rate,
+    Depth,
 };
 
 inline constexpr std::array DimensionNames{
@@ -30,6 +31,7 @@
     core::EnumName<Dimension>{Dimension::Services, "services"},
     core::EnumName<Dimension>{Dimension::EntryHosts, "entry hosts"},
     core::EnumName<Dimension>{Dimension::Rate, "requests/s"},
+    core::EnumName<Dimension>{Dimension::Depth, "calls deep"},
 };
 
 /** What is measured. */
@@ -71,6 +73,8 @@
     EntryCpuByRate,
     AddedMedianByRate,
     AddedTailByRate,
+    ChainByDepth,
+    ChainDirectByDepth,
 };
 
 /** One row of the table of measures. */
@@ -114,6 +118,8 @@
 {
 public:
     void add(Measure measure, double size, double value);
+    /** Takes the measures of @p fresh in place of its own. */
+    void replace(const Results &fresh);
     const std::map<Measure, std::vector<Point>> &all() const;
     bool has(Measure measure) const;
     Fit fitOf(Measure measure) const;
