--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -86,6 +86,7 @@
 {
     std::vector<std::vector<double>> parts(Connections);
     std::vector<std::thread> threads;
+    threads.reserve(parts.size());
     for (auto &part : parts) {
         threads.emplace_back([&part, &address, rate]() {
             part = callSteadily(address, rate / Connections);
