--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -13,6 +13,8 @@
 #include "rpc/codec.h"
 #include "rpc/commandcodec.h"
 #include "rpc/replicationcodec.h"
+#include "telemetry/exposition.h"
+#include "telemetry/revisionclock.h"
 
 #include <atomic>
 #include <chrono>
@@ -53,6 +55,9 @@
 
     core::Status start()
     {
+        m_metrics.beforeExposition([this](telemetry::Registry &metrics) {
+            measure(metrics);
+        });
         auto replicator =
             Replicator::open(m_settings.dataFolder, m_settings.id, replicatorHooks(), core::seededRandom(makeSeed()));
         if (!core::ok(replicator)) {
@@ -120,7 +125,7 @@
         m_rpc = std::move(core::value(server));
         auto http = http::Server::Builder(m_pool.context())
                         .address(m_settings.operatorListen)
-                        .handler(operatorHandler(m_settings.id, operatorHooks()))
+                        .handler(telemetry::withMetrics(m_metrics, operatorHandler(m_settings.id, operatorHooks())))
                         .start();
         if (!core::ok(http)) {
             return core::error(http);
@@ -179,12 +184,16 @@
             if (!request.peer()) {
                 m_hub.hear(rpc::decode(request.host()), m_timers.now());
             }
-            m_desk.take(request, respond, m_timers.now());
+            count(telemetry::ControlMessage::FollowRequest, telemetry::Direction::In, request);
+            m_desk.take(request, countedReply(respond), m_timers.now());
             confirm();
         };
         hooks.report = [this](const rpc::ReportRequest &request, const rpc::Respond<rpc::ReportReply> &respond) {
+            count(telemetry::ControlMessage::ReportRequest, telemetry::Direction::In, request);
             learn(request);
-            respond({});
+            const rpc::ReportReply reply;
+            count(telemetry::ControlMessage::ReportReply, telemetry::Direction::Out, reply);
+            respond(reply);
         };
         hooks.deliver = [this](const rpc::Envelope &envelope) {
             deliver(envelope);
@@ -262,6 +271,34 @@
         });
     }
 
+    template<typename Message>
+    void count(telemetry::ControlMessage kind, telemetry::Direction direction, const Message &message)
+    {
+        m_metrics.countMessage(kind, direction, message.ByteSizeLong());
+    }
+
+    rpc::Respond<rpc::FollowReply> countedReply(const rpc::Respond<rpc::FollowReply> &respond)
+    {
+        return [this, respond](const rpc::FollowReply &reply) {
+            count(telemetry::ControlMessage::FollowReply, telemetry::Direction::Out, reply);
+            respond(reply);
+        };
+    }
+
+    /** Sets the gauges from what the state dump reads too. */
+    void measure(telemetry::Registry &metrics)
+    {
+        metrics.set(telemetry::Metric::Revision, {}, static_cast<double>(m_state.standing()->revision));
+        metrics.set(telemetry::Metric::RevisionAge, {}, core::toSeconds(m_revisionClock.age(m_timers.now())));
+        metrics.set(telemetry::Metric::EntryHosts, {}, static_cast<double>(m_hub.hosts().size()));
+        metrics.set(telemetry::Metric::HeldFollowCalls, {}, static_cast<double>(m_desk.heldCount()));
+        for (const auto &row : targets::ConditionNames) {
+            metrics.set(telemetry::Metric::Targets,
+                        {{"condition", std::string(row.name)}},
+                        static_cast<double>(m_hub.targetCount(row.value)));
+        }
+    }
+
     void learn(const rpc::ReportRequest &request)
     {
         for (const auto &message : request.changes()) {
@@ -281,12 +318,15 @@
     {
         m_replicator->tick();
         m_leaderDesk->serve();
+        m_revisionClock.note(m_state.standing()->revision, m_timers.now());
         m_hub.forgetSilent(m_timers.now() - SilentPeriod);
         m_desk.serve(m_timers.now());
     }
 
     const ControlSettings m_settings;
     ReplicatedState m_state;
+    telemetry::Registry m_metrics;
+    telemetry::RevisionClock m_revisionClock;
     membership::Hub m_hub;
     Peers m_peers;
     std::atomic<bool> m_stopped{false};
--- a/src/control/followdesk.cpp
+++ b/src/control/followdesk.cpp
@@ -46,6 +46,12 @@
     return true;
 }
 
+std::size_t FollowDesk::heldCount() const
+{
+    const core::Lock lock(m_mutex);
+    return m_held.size();
+}
+
 void FollowDesk::close()
 {
     {
@@ -67,12 +73,6 @@
     return m_asks;
 }
 
-std::size_t FollowDesk::held() const
-{
-    const core::Lock lock(m_mutex);
-    return m_held.size();
-}
-
 void FollowDesk::noteAsk(const rpc::FollowRequest &request)
 {
     if (request.peer()) {
--- a/src/control/followdesk.h
+++ b/src/control/followdesk.h
@@ -48,7 +48,7 @@
     /** Answers every call held, and from now on each at once. */
     void close();
 
-    std::size_t held() const;
+    std::size_t heldCount() const;
 
 private:
     struct Held {
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -68,6 +68,7 @@
     request.set_feed_position(m_feedPosition);
     request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
     request.set_ask(noteAsked());
+    m_parts.traffic(telemetry::ControlMessage::FollowRequest, telemetry::Direction::Out, request.ByteSizeLong());
     client()->follow(request, FollowTimeout, [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
         self->m_parts.pool.post([self, reply = std::move(reply)]() {
             self->take(reply);
@@ -96,6 +97,8 @@
         later(RetryDelay, &Follower::ask);
         return;
     }
+    m_parts.traffic(
+        telemetry::ControlMessage::FollowReply, telemetry::Direction::In, core::value(reply).ByteSizeLong());
     adopt(core::value(reply));
     if (unconfirmedForLong()) {
         moveOn();
@@ -201,6 +204,7 @@
         }
         m_pending.clear();
     }
+    m_parts.traffic(telemetry::ControlMessage::ReportRequest, telemetry::Direction::Out, request.ByteSizeLong());
     client()->report(request,
                      ReportTimeout,
                      [self = shared_from_this(), sent = std::move(sent)](const core::Result<rpc::ReportReply> &reply) {
@@ -213,6 +217,7 @@
 void Follower::reportEnded(const std::vector<targets::Target> &sent, bool arrived)
 {
     if (arrived) {
+        m_parts.traffic(telemetry::ControlMessage::ReportReply, telemetry::Direction::In, 0);
         sendReports();
         return;
     }
--- a/src/membership/hub.cpp
+++ b/src/membership/hub.cpp
@@ -133,4 +133,12 @@
     m_hostsPosition = ++m_position;
 }
 
+std::size_t Hub::targetCount(targets::Condition condition) const
+{
+    const core::Lock lock(m_mutex);
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [condition](const auto &entry) {
+        return entry.second.target.condition == condition;
+    }));
+}
+
 } // namespace pimentoshed::membership
--- a/src/membership/hub.h
+++ b/src/membership/hub.h
@@ -63,6 +63,8 @@
     /** Every entry host that is heard, here or at another control host. */
     std::vector<EntryHost> hosts() const;
     std::size_t targetCount() const;
+    /** How many of the known targets say @p condition. */
+    std::size_t targetCount(targets::Condition condition) const;
 
 private:
     struct HostEntry {
