Send and answer at once, and prove what did not run

The relay sent a whole body before it read an answer, so that an early answer could halt both sides, and it called every failed write unknown. Body and answer now go at once on one strand, and a pure rule says what each stage proves.

--- /dev/null
+++ b/src/http/attempt.cpp
@@ -0,0 +1,396 @@
+#include "http/attempt.h"
+
+#include "http/address.h"
+
+#include <array>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <fmt/format.h>
+#include <limits>
+#include <utility>
+
+namespace pimentoshed::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace message = boost::beast::http;
+using core::ErrorCode;
+using requests::AttemptStage;
+
+namespace
+{
+
+constexpr std::uint32_t AnswerHeadBytes = 65536;
+constexpr std::size_t PieceBytes = 16384;
+constexpr unsigned Version11 = 11;
+
+asio::steady_timer::duration remaining(core::TimePoint moment)
+{
+    return std::chrono::duration_cast<asio::steady_timer::duration>(moment - core::steadyNow());
+}
+
+bool closedByPeer(const beast::error_code &failure)
+{
+    return failure == message::error::end_of_stream || failure == asio::error::eof
+        || failure == asio::error::connection_reset || failure == asio::error::broken_pipe;
+}
+
+} // namespace
+
+Attempt::Attempt(Exchange &exchange, const RelayTerms &terms, std::unique_ptr<TargetConnection> connection)
+    : m_exchange(exchange)
+    , m_terms(terms)
+    , m_connection(std::move(connection))
+    , m_caller(exchange.stream())
+    , m_yield(exchange.yield())
+    , m_deadline(m_yield,
+                 [this]() {
+                     abort(ErrorCode::DeadlinePassed, {});
+                 })
+    , m_readStall(m_yield,
+                  [this]() {
+                      abort(ErrorCode::CallerTooSlow, "sending its request");
+                  })
+    , m_writeStall(m_yield,
+                   [this]() {
+                       m_callerGone = true;
+                       abort(ErrorCode::CallerTooSlow, "reading its answer");
+                   })
+    , m_uploadEnd(asio::get_associated_executor(m_yield))
+    , m_readPace(terms.pace)
+    , m_writePace(terms.pace)
+{
+}
+
+RelayResult Attempt::run()
+{
+    if (remaining(m_terms.deadline) <= core::Duration{}) {
+        abort(ErrorCode::DeadlinePassed, {});
+        return settle();
+    }
+    m_deadline.arm(remaining(m_terms.deadline));
+    if (connect() && sendHead()) {
+        startUpload();
+        if (readAnswerHead()) {
+            passAnswer();
+        }
+        endUpload();
+    }
+    m_deadline.disarm();
+    return settle();
+}
+
+bool Attempt::wasStale() const
+{
+    return m_stale;
+}
+
+void Attempt::giveBack(ConnectionPool &pool)
+{
+    if (m_keep) {
+        pool.give(m_terms.address, std::move(m_connection), core::steadyNow());
+    }
+}
+
+void Attempt::abort(ErrorCode code, std::string detail)
+{
+    if (m_failure) {
+        return;
+    }
+    m_failure = core::Error{code, std::move(detail)};
+    boost::system::error_code ignored;
+    m_connection->socket.close(ignored);
+    m_caller.cancel();
+}
+
+void Attempt::advance(AttemptStage stage)
+{
+    m_stage = std::max(m_stage, stage);
+}
+
+bool Attempt::connect()
+{
+    if (!m_connection->reused) {
+        const auto endpoint = parseAddress(m_terms.address);
+        if (!core::ok(endpoint)) {
+            abort(ErrorCode::TargetFailed, core::describe(core::error(endpoint)));
+            return false;
+        }
+        boost::system::error_code failure;
+        m_connection->socket.async_connect(core::value(endpoint), m_yield[failure]);
+        if (failure) {
+            abort(ErrorCode::TargetFailed, failure.message());
+            return false;
+        }
+        m_connection->socket.set_option(asio::ip::tcp::no_delay(true), failure);
+    }
+    advance(AttemptStage::HeadIncomplete);
+    return !m_failure;
+}
+
+std::string Attempt::requestHead() const
+{
+    RequestHead head(m_exchange.forwardHead());
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(remaining(m_terms.deadline));
+    head.version(Version11);
+    head.set({DeadlineHeader.data(), DeadlineHeader.size()}, fmt::format("{}", left.count()));
+    return encode(head);
+}
+
+bool Attempt::sendHead()
+{
+    const auto head = requestHead();
+    boost::system::error_code failure;
+    const auto sent = asio::async_write(m_connection->socket, asio::buffer(head), m_yield[failure]);
+    if (sent == head.size()) {
+        advance(AttemptStage::HeadSent);
+    }
+    if (failure) {
+        m_stale = !m_failure && m_connection->reused;
+        abort(ErrorCode::TargetFailed, failure.message());
+    }
+    return !m_failure;
+}
+
+bool Attempt::sendToTarget(const Yield &yield, const std::string &bytes)
+{
+    boost::system::error_code failure;
+    asio::async_write(m_connection->socket, asio::buffer(bytes), yield[failure]);
+    // The target may have answered before it closed: that is for the reading side to find out.
+    return !failure && !m_failure;
+}
+
+void Attempt::startUpload()
+{
+    if (!m_exchange.body().present()) {
+        m_uploaded = true;
+        watchCaller();
+        return;
+    }
+    m_exchange.sendContinue();
+    m_uploading = true;
+    m_uploadEnd.expires_at(asio::steady_timer::time_point::max());
+    asio::spawn(m_caller.get_executor(), [this](const Yield &yield) {
+        upload(yield);
+        m_uploading = false;
+        m_uploadEnd.cancel();
+        if (m_uploaded) {
+            watchCaller();
+        }
+    });
+}
+
+void Attempt::upload(const Yield &yield)
+{
+    const auto &body = m_exchange.body();
+    const bool chunked = !body.length();
+    std::string piece;
+    while (!body.finished()) {
+        if (!nextPiece(yield, piece)) {
+            return;
+        }
+        if (chunked && !piece.empty()) {
+            piece = fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
+        }
+        if (!sendToTarget(yield, piece)) {
+            return;
+        }
+    }
+    m_uploaded = !chunked || sendToTarget(yield, "0\r\n\r\n");
+}
+
+bool Attempt::nextPiece(const Yield &yield, std::string &piece)
+{
+    m_readStall.arm(m_readPace.left());
+    const auto began = core::steadyNow();
+    const auto taken = m_exchange.body().next(yield);
+    m_readStall.disarm();
+    if (!core::ok(taken)) {
+        abort(ErrorCode::RequestMalformed, core::error(taken).detail);
+        return false;
+    }
+    piece = core::value(taken);
+    m_readPace.moved(piece.size(), core::steadyNow() - began);
+    m_bodyBytes += piece.size();
+    if (m_bodyBytes > m_terms.maxRequestBytes) {
+        abort(ErrorCode::RequestTooLarge, {});
+        return false;
+    }
+    return true;
+}
+
+void Attempt::endUpload()
+{
+    unwatchCaller();
+    if (m_uploading) {
+        // The answer has ended, or never will come: this target needs no more of the body.
+        boost::system::error_code ignored;
+        m_connection->socket.close(ignored);
+        m_caller.cancel();
+    }
+    while (m_uploading) {
+        boost::system::error_code ignored;
+        m_uploadEnd.async_wait(m_yield[ignored]);
+    }
+}
+
+bool Attempt::readAnswerHead()
+{
+    constexpr unsigned MostInterimHeads = 16;
+    for (unsigned interim = 0; interim <= MostInterimHeads; ++interim) {
+        if (!readOneHead()) {
+            return false;
+        }
+        if (isFinalHead()) {
+            unwatchCaller();
+            return !m_failure;
+        }
+    }
+    abort(ErrorCode::TargetFailed, "too many interim answers");
+    return false;
+}
+
+bool Attempt::readOneHead()
+{
+    m_answer.emplace();
+    m_answer->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_answer->header_limit(AnswerHeadBytes);
+    m_answer->skip(m_exchange.request().method() == message::verb::head);
+    beast::error_code failure;
+    message::async_read_header(m_connection->socket, m_connection->buffer, *m_answer, m_yield[failure]);
+    if (failure) {
+        m_stale = !m_failure && m_connection->reused && m_connection->buffer.size() == 0 && !m_answer->got_some()
+            && closedByPeer(failure);
+        abort(ErrorCode::TargetFailed, failure.message());
+        return false;
+    }
+    const auto &head = m_answer->get();
+    const auto fault = framingFault(head, head.version());
+    if (fault || head.result() == message::status::switching_protocols) {
+        abort(ErrorCode::TargetFailed, fault.value_or("switches protocols unasked"));
+        return false;
+    }
+    return true;
+}
+
+bool Attempt::isFinalHead()
+{
+    constexpr unsigned FirstFinalStatus = 200;
+    return m_answer->get().result_int() >= FirstFinalStatus;
+}
+
+void Attempt::passAnswer()
+{
+    if (m_terms.shedIsNotRun && m_answer->get().result() == message::status::service_unavailable) {
+        advance(AttemptStage::Shed);
+        abort(ErrorCode::TargetFailed, "the target shed the request");
+        return;
+    }
+    advance(AttemptStage::AnswerStarted);
+    if (m_uploading) {
+        m_exchange.closeAfterwards();
+    }
+    AnswerWriter writer(m_exchange, m_writePace, m_writeStall);
+    auto end = BodyEnd::None;
+    if (!m_answer->is_done()) {
+        end = m_answer->chunked() ? BodyEnd::LastChunk : m_answer->need_eof() ? BodyEnd::Close : BodyEnd::Length;
+    }
+    writer.head(m_answer->get(), end);
+    const bool passed = passBody(writer) && writer.flush(m_yield);
+    m_answered = writer.started();
+    if (passed && !m_failure) {
+        m_keep = m_uploaded && m_answer->keep_alive() && m_connection->buffer.size() == 0;
+        return;
+    }
+    m_exchange.closeAfterwards();
+    if (!m_failure) {
+        m_callerGone = true;
+        abort(ErrorCode::CallerTooSlow, "its connection ended");
+    }
+    if (m_answered && writer.end() == BodyEnd::Close) {
+        m_exchange.abort();
+    }
+}
+
+bool Attempt::passBody(AnswerWriter &writer)
+{
+    std::string piece;
+    while (!m_answer->is_done()) {
+        const bool wait = m_connection->buffer.size() == 0;
+        if ((wait || writer.full()) && !writer.flush(m_yield)) {
+            return false;
+        }
+        if (!readPiece(piece)) {
+            return false;
+        }
+        writer.piece(piece);
+    }
+    advance(AttemptStage::AnswerWhole);
+    writer.last();
+    return true;
+}
+
+bool Attempt::readPiece(std::string &piece)
+{
+    piece.resize(PieceBytes);
+    auto &body = m_answer->get().body();
+    body.data = piece.data();
+    body.size = piece.size();
+    beast::error_code failure;
+    message::async_read_some(m_connection->socket, m_connection->buffer, *m_answer, m_yield[failure]);
+    if (failure && failure != message::error::need_buffer) {
+        abort(ErrorCode::AnswerTruncated, failure.message());
+        return false;
+    }
+    piece.resize(piece.size() - body.size);
+    return true;
+}
+
+void Attempt::watchCaller()
+{
+    if (m_failure || m_answered || m_stage > AttemptStage::HeadSent || !m_exchange.body().received()) {
+        return;
+    }
+    m_watching = std::make_shared<bool>(true);
+    const auto gone = [this, watching = m_watching](const boost::system::error_code &failure) {
+        if (failure || !*watching) {
+            return;
+        }
+        *watching = false;
+        boost::system::error_code ended;
+        char byte = 0;
+        m_caller.socket().non_blocking(true, ended);
+        m_caller.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ended);
+        // A pipelined request is no end.
+        if (ended && ended != asio::error::would_block) {
+            m_callerGone = true;
+            abort(ErrorCode::CallerTooSlow, "it closed its connection");
+        }
+    };
+    m_caller.socket().async_wait(asio::socket_base::wait_read,
+                                 asio::bind_executor(asio::get_associated_executor(m_yield), gone));
+}
+
+void Attempt::unwatchCaller()
+{
+    if (m_watching && std::exchange(*m_watching, false)) {
+        boost::system::error_code ignored;
+        m_caller.socket().cancel(ignored);
+    }
+}
+
+RelayResult Attempt::settle()
+{
+    RelayResult result;
+    result.stage = m_stage;
+    result.outcome = {requests::provenRun(m_stage, m_terms.shedIsNotRun), m_failure};
+    result.answered = m_answered;
+    result.bodyTaken = !m_exchange.body().repeatable();
+    result.callerGone = m_callerGone;
+    return result;
+}
+
+} // namespace pimentoshed::http
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -39,6 +39,11 @@
             return connection;
         }
     }
+    return make();
+}
+
+std::unique_ptr<TargetConnection> ConnectionPool::make()
+{
     return std::make_unique<TargetConnection>(m_context);
 }
 
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -42,6 +42,9 @@
     /** An idle connection to @p address that the target has not closed, or a new one that is not yet connected. */
     std::unique_ptr<TargetConnection> take(const std::string &address);
 
+    /** A connection that is not yet connected. */
+    std::unique_ptr<TargetConnection> make();
+
     /** Keeps @p connection for a later request. */
     void give(const std::string &address, std::unique_ptr<TargetConnection> connection, core::TimePoint now);
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -1,11 +1,9 @@
 #include "http/exchange.h"
 
-#include <array>
-#include <boost/beast/http/error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
+#include <chrono>
 
 namespace pimentoshed::http
 {
@@ -15,7 +13,8 @@
 namespace
 {
 
-constexpr std::size_t BodyChunkBytes = 16384;
+constexpr unsigned HttpVersion = 11;
+constexpr auto SendTimeout = std::chrono::seconds(10);
 
 std::string_view toView(beast::string_view text)
 {
@@ -29,6 +28,8 @@
     , m_buffer(buffer)
     , m_parser(parser)
     , m_yield(std::move(yield))
+    , m_body(stream, buffer, parser)
+    , m_expectsContinue(beast::iequals(parser.get()[beast::http::field::expect], "100-continue"))
 {
 }
 
@@ -68,20 +69,43 @@
     return toView(request()[beast::string_view(name.data(), name.size())]);
 }
 
+RequestBody &Exchange::body()
+{
+    return m_body;
+}
+
+const RequestHead &Exchange::forwardHead()
+{
+    if (!m_forwardHead) {
+        // Copied before the body is read: its trailers would be added to the parser's fields.
+        m_forwardHead.emplace(request().base());
+        dropHopByHop(*m_forwardHead);
+    }
+    return *m_forwardHead;
+}
+
+void Exchange::sendContinue()
+{
+    if (!std::exchange(m_expectsContinue, false) || m_body.received() || m_buffer.size() > 0) {
+        return;
+    }
+    constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    beast::error_code failure;
+    boost::asio::async_write(m_stream, boost::asio::buffer(Continue), m_yield[failure]);
+    m_closes = m_closes || failure;
+}
+
 core::Result<std::string> Exchange::readBody(std::uint64_t limit)
 {
+    sendContinue();
     std::string body;
-    std::array<char, BodyChunkBytes> chunk{};
-    while (!m_parser.is_done()) {
-        m_parser.get().body().data = chunk.data();
-        m_parser.get().body().size = chunk.size();
-        beast::error_code failure;
-        beast::http::async_read(m_stream, m_buffer, m_parser, m_yield[failure]);
-        if (failure && failure != beast::http::error::need_buffer) {
+    while (!m_body.finished()) {
+        const auto piece = m_body.next(m_yield);
+        if (!core::ok(piece)) {
             m_closes = true;
-            return core::Error{core::ErrorCode::RequestMalformed, failure.message()};
+            return core::error(piece);
         }
-        body.append(chunk.data(), chunk.size() - m_parser.get().body().size);
+        body.append(core::value(piece));
         if (body.size() > limit) {
             m_closes = true;
             return core::Error{core::ErrorCode::RequestTooLarge, {}};
@@ -92,17 +116,28 @@
 
 void Exchange::send(const Reply &reply)
 {
-    beast::http::response<beast::http::string_body> message(reply.status, request().version());
-    message.set(beast::http::field::content_type, reply.contentType);
+    AnswerHead head;
+    head.version(HttpVersion);
+    head.result(reply.status);
+    head.set(beast::http::field::content_type, reply.contentType);
     for (const auto &[name, value] : reply.headers) {
-        message.set(name, value);
+        head.set(name, value);
     }
-    message.body() = reply.body;
+    head.set(beast::http::field::content_length, std::to_string(reply.body.size()));
     m_closes = m_closes || !m_parser.is_done() || !request().keep_alive();
-    message.keep_alive(!m_closes);
-    message.prepare_payload();
+    if (m_closes) {
+        head.set(beast::http::field::connection, "close");
+    } else if (request().version() < HttpVersion) {
+        head.set(beast::http::field::connection, "keep-alive");
+    }
+    auto bytes = encode(head);
+    if (request().method() != beast::http::verb::head) {
+        bytes += reply.body;
+    }
+    m_stream.expires_after(SendTimeout);
     beast::error_code failure;
-    beast::http::async_write(m_stream, message, m_yield[failure]);
+    boost::asio::async_write(m_stream, boost::asio::buffer(bytes), m_yield[failure]);
+    m_stream.expires_never();
     m_closes = m_closes || failure;
 }
 
@@ -116,6 +151,14 @@
     return m_closes;
 }
 
+void Exchange::abort()
+{
+    m_closes = true;
+    beast::error_code ignored;
+    m_stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    m_stream.close();
+}
+
 beast::tcp_stream &Exchange::stream()
 {
     return m_stream;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -5,6 +5,8 @@
 #pragma once
 
 #include "core/error.h"
+#include "http/headers.h"
+#include "http/requestbody.h"
 
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -14,6 +16,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,8 +25,6 @@
 namespace pimentoshed::http
 {
 
-using Yield = boost::asio::yield_context;
-using RequestParser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 using Header = std::pair<std::string, std::string>;
 
 /** An answer that this host makes itself. */
@@ -48,6 +49,13 @@
     std::string_view queryValue(std::string_view name) const;
     std::string_view header(std::string_view name) const;
 
+    /** The request's body, for handlers that pass it on in pieces. */
+    RequestBody &body();
+    /** The request's head as a target gets it: without what concerns the caller's connection only. */
+    const RequestHead &forwardHead();
+    /** Sends 100 (Continue) where the caller waits for it before it sends its body. */
+    void sendContinue();
+
     /** The whole body. Errors: RequestTooLarge, RequestMalformed. */
     core::Result<std::string> readBody(std::uint64_t limit);
 
@@ -57,6 +65,8 @@
     /** Has the connection closed after this exchange. */
     void closeAfterwards();
     bool closes() const;
+    /** Resets the connection, so that nothing sent on it can pass for a whole answer. */
+    void abort();
 
     boost::beast::tcp_stream &stream();
     boost::beast::flat_buffer &buffer();
@@ -68,6 +78,9 @@
     boost::beast::flat_buffer &m_buffer;
     RequestParser &m_parser;
     Yield m_yield;
+    RequestBody m_body;
+    std::optional<RequestHead> m_forwardHead;
+    bool m_expectsContinue;
     bool m_closes = false;
 };
 
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include "core/time.h"
+#include "http/callerpace.h"
 #include "http/connectionpool.h"
 #include "http/exchange.h"
 #include "requests/outcome.h"
+#include "requests/runproof.h"
 
 #include <cstdint>
 #include <string>
@@ -22,18 +24,27 @@
     std::uint64_t maxRequestBytes = 0;
     /** Whether the target's own 503 proves that the request was not run. */
     bool shedIsNotRun = false;
+    /** Whether the request may run more than once. */
+    bool idempotent = false;
+    PaceLimits pace;
 };
 
 /** How far an attempt came. */
 struct RelayResult {
     requests::Outcome outcome;
+    requests::AttemptStage stage = requests::AttemptStage::NotConnected;
     /** Whether any of the answer went to the caller, so that nothing else can. */
     bool answered = false;
-    /** Whether any of the request's body was taken from the caller, so that it can't be sent again. */
+    /** Whether the request can't be sent again, because its body is no longer at hand. */
     bool bodyTaken = false;
+    /** Whether the caller closed its connection or was too slow, so that nobody waits for an answer. */
+    bool callerGone = false;
 };
 
-/** Runs one attempt within the exchange's coroutine. */
+/**
+ * Runs one attempt within the exchange's coroutine. Where a reused connection turns out to be closed, the request goes
+ * once more on a new connection to the same target, if it is idempotent or proven not to have run.
+ */
 RelayResult relay(Exchange &exchange, ConnectionPool &pool, const RelayTerms &terms);
 
 } // namespace pimentoshed::http
--- /dev/null
+++ b/src/http/requestbody.h
@@ -0,0 +1,63 @@
+/**
+ * @file
+ * The body of a caller's request, read in pieces; its beginning is kept so that another target can be given it.
+ */
+#pragma once
+
+#include "core/error.h"
+
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pimentoshed::http
+{
+
+using Yield = boost::asio::yield_context;
+using RequestParser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+/** Used by one coroutine at a time. */
+class RequestBody
+{
+public:
+    RequestBody(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, RequestParser &parser);
+
+    /** Whether the request has a body at all. */
+    bool present() const;
+    /** The declared length, where one was declared. */
+    std::optional<std::uint64_t> length() const;
+    /** Whether all of it was read from the caller. */
+    bool received() const;
+    /** Whether all of it was handed out since the start or the last rewind. */
+    bool finished() const;
+
+    /** The next piece, valid until the next call; empty only at the end. Error: RequestMalformed. */
+    core::Result<std::string_view> next(const Yield &yield);
+
+    /** Whether rewind() would work. */
+    bool repeatable() const;
+    /** Starts again at the first byte. Only where repeatable. */
+    void rewind();
+
+private:
+    std::string_view nextKept();
+    void keep(std::string_view piece);
+
+    boost::beast::tcp_stream &m_stream;
+    boost::beast::flat_buffer &m_buffer;
+    RequestParser &m_parser;
+    const bool m_present;
+    const std::optional<std::uint64_t> m_length;
+    std::string m_piece;
+    std::string m_kept;
+    std::size_t m_position = 0;
+    bool m_repeatable = true;
+};
+
+} // namespace pimentoshed::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "core/rankedmutex.h"
 #include "http/address.h"
+#include "http/json.h"
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,7 +14,7 @@
 #include <fmt/format.h>
 #include <limits>
 #include <optional>
-#include <unordered_set>
+#include <vector>
 
 namespace pimentoshed::http
 {
@@ -38,6 +39,49 @@
     std::atomic<bool> closing{false};
     std::atomic<bool> draining{false};
     std::atomic<std::size_t> inProgress{0};
+
+    void connectionBegan()
+    {
+        ++connections;
+    }
+
+    void connectionEnded()
+    {
+        if (--connections == 0) {
+            notifyIfDone();
+        }
+    }
+
+    void setOnDone(std::function<void()> hook)
+    {
+        {
+            const core::Lock lock(m_mutex);
+            m_onDone = std::move(hook);
+        }
+        notifyIfDone();
+    }
+
+    /** Calls the hook, once, where no connection is left and none will be accepted. */
+    void notifyIfDone()
+    {
+        if (!accepting && connections == 0) {
+            std::function<void()> hook;
+            {
+                const core::Lock lock(m_mutex);
+                hook.swap(m_onDone);
+            }
+            if (hook) {
+                hook();
+            }
+        }
+    }
+
+    std::atomic<bool> accepting{true};
+    std::atomic<std::size_t> connections{0};
+
+private:
+    core::RankedMutex m_mutex{core::LockRank::Connections};
+    std::function<void()> m_onDone;
 };
 
 /** One accepted connection. Lives as long as its coroutine. */
@@ -48,8 +92,17 @@
         : m_stream(std::move(socket))
         , m_shared(std::move(shared))
     {
+        m_shared->connectionBegan();
+    }
+
+    ~Connection()
+    {
+        m_shared->connectionEnded();
     }
 
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
     void start()
     {
         asio::spawn(m_stream.get_executor(), [self = shared_from_this()](const Yield &yield) {
@@ -57,11 +110,11 @@
         });
     }
 
-    /** Closes the connection unless a request is in progress on it. */
+    /** Closes the connection unless a request is in progress on it or has begun to arrive. */
     void closeIfIdle()
     {
         asio::post(m_stream.get_executor(), [self = shared_from_this()]() {
-            if (!self->m_busy) {
+            if (self->m_idle) {
                 self->m_stream.cancel();
             }
         });
@@ -75,9 +128,27 @@
         while (serveOne(yield)) {
         }
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (m_unread) {
+            discardRest(yield);
+        }
         m_stream.close();
     }
 
+    /** Closing with bytes unread would reset the connection and could take the answer with it. */
+    void discardRest(const Yield &yield)
+    {
+        constexpr auto DiscardTime = std::chrono::seconds(2);
+        constexpr std::size_t DiscardBytes = 4U << 20U;
+        constexpr std::size_t PieceBytes = 16384;
+        m_stream.expires_after(DiscardTime);
+        std::string piece(PieceBytes, '\0');
+        std::size_t discarded = 0;
+        beast::error_code failure;
+        while (!failure && discarded < DiscardBytes) {
+            discarded += m_stream.async_read_some(asio::buffer(piece), yield[failure]);
+        }
+    }
+
     /** Whether another request may follow. */
     bool serveOne(const Yield &yield)
     {
@@ -87,7 +158,6 @@
         if (!awaitFirstByte(yield) || !readHeader(parser, yield)) {
             return false;
         }
-        m_busy = true;
         ++m_shared->inProgress;
         m_stream.expires_never();
         Exchange exchange(m_stream, m_buffer, parser, yield);
@@ -96,7 +166,7 @@
         }
         m_shared->handler(exchange);
         --m_shared->inProgress;
-        m_busy = false;
+        m_unread = !parser.is_done();
         return !exchange.closes() && !m_shared->draining;
     }
 
@@ -106,11 +176,17 @@
         if (m_buffer.size() > 0) {
             return true;
         }
-        m_stream.expires_after(m_shared->limits.idleTimeout);
         beast::error_code failure;
-        const auto count = m_stream.async_read_some(m_buffer.prepare(FirstReadBytes), yield[failure]);
-        m_buffer.commit(count);
-        return !failure;
+        if (!m_shared->draining) {
+            m_stream.expires_after(m_shared->limits.idleTimeout);
+            m_idle = true;
+            const auto count = m_stream.async_read_some(m_buffer.prepare(FirstReadBytes), yield[failure]);
+            m_idle = false;
+            m_buffer.commit(count);
+        }
+        // At the end of a drain a request may have arrived that was not read yet: it is served.
+        beast::error_code unknown;
+        return m_buffer.size() > 0 || (m_shared->draining && m_stream.socket().available(unknown) > 0);
     }
 
     bool readHeader(RequestParser &parser, const Yield &yield)
@@ -119,31 +195,36 @@
         beast::error_code failure;
         beast::http::async_read_header(m_stream, m_buffer, parser, yield[failure]);
         if (!failure) {
-            return true;
+            const auto fault = requestFault(parser.get());
+            if (fault) {
+                refuseMalformed(*fault, parser, yield);
+            }
+            return !fault;
         }
         if (failure != beast::error::timeout && failure != beast::http::error::end_of_stream) {
-            refuseMalformed(failure, parser, yield);
+            refuseMalformed(failure.message(), parser, yield);
         }
         return false;
     }
 
-    void refuseMalformed(const beast::error_code &failure, RequestParser &parser, const Yield &yield)
+    void refuseMalformed(std::string detail, RequestParser &parser, const Yield &yield)
     {
         Exchange exchange(m_stream, m_buffer, parser, yield);
         exchange.closeAfterwards();
-        const core::Error problem{core::ErrorCode::RequestMalformed, failure.message()};
-        Reply reply;
-        reply.status = beast::http::status::bad_request;
-        reply.contentType = "text/plain";
-        reply.headers.emplace_back("Pimentoshed-Run", "not-run");
-        reply.body = core::describe(problem) + "\n";
+        auto reply =
+            errorReply(beast::http::status::bad_request, {core::ErrorCode::RequestMalformed, std::move(detail)});
+        reply.headers.emplace_back(RunHeader, "not-run");
         exchange.send(reply);
+        m_unread = true;
     }
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::shared_ptr<Shared> m_shared;
-    bool m_busy = false;
+    /** Whether it waits for the first byte of a request. */
+    bool m_idle = false;
+    /** Whether the caller may still be sending a message that nobody reads. */
+    bool m_unread = false;
 };
 
 } // namespace
@@ -194,7 +275,7 @@
         m_shared->closing = true;
         m_shared->draining = true;
         asio::post(m_acceptor.get_executor(), [self = shared_from_this()]() {
-            self->m_acceptor.close();
+            self->closeAcceptor();
         });
         const core::Lock lock(m_mutex);
         for (const auto &connection : m_connections) {
@@ -216,6 +297,23 @@
     }
 
 private:
+    /** Takes what callers have already connected, then closes. */
+    void closeAcceptor()
+    {
+        boost::system::error_code failure;
+        m_acceptor.non_blocking(true, failure);
+        while (m_acceptor.is_open() && !failure) {
+            tcp::socket socket(asio::make_strand(m_context));
+            m_acceptor.accept(socket, failure);
+            if (!failure) {
+                std::make_shared<Connection>(std::move(socket), m_shared)->start();
+            }
+        }
+        m_acceptor.close(failure);
+        m_shared->accepting = false;
+        m_shared->notifyIfDone();
+    }
+
     void accepted(const boost::system::error_code &failure, tcp::socket socket)
     {
         if (failure == asio::error::operation_aborted || !m_acceptor.is_open()) {
@@ -313,6 +411,12 @@
     m_impl->drain();
 }
 
+void Server::drain(std::function<void()> onDone)
+{
+    m_impl->shared().setOnDone(std::move(onDone));
+    m_impl->drain();
+}
+
 std::size_t Server::inProgress() const
 {
     return m_impl->shared().inProgress;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -58,6 +58,9 @@
     /** Stops accepting and closes the connections on which no request is in progress. */
     void drain();
 
+    /** Drains, and calls @p onDone once when the last connection has ended. */
+    void drain(std::function<void()> onDone);
+
     /** Requests in progress. */
     std::size_t inProgress() const;
 
--- /dev/null
+++ b/src/http/watchdog.cpp
@@ -0,0 +1,44 @@
+#include "http/watchdog.h"
+
+#include <utility>
+
+namespace pimentoshed::http
+{
+
+/** Outlives the watchdog where its timer's handler is still queued. */
+struct Watchdog::State {
+    std::function<void()> hook;
+    /** Raised by each arm and disarm; a handler of an earlier one does nothing. */
+    unsigned generation = 0;
+};
+
+Watchdog::Watchdog(const Yield &yield, std::function<void()> hook)
+    : m_state(std::make_shared<State>())
+    , m_timer(boost::asio::get_associated_executor(yield))
+{
+    m_state->hook = std::move(hook);
+}
+
+Watchdog::~Watchdog()
+{
+    disarm();
+}
+
+void Watchdog::arm(core::Duration delay)
+{
+    const auto generation = ++m_state->generation;
+    m_timer.expires_after(std::chrono::duration_cast<boost::asio::steady_timer::duration>(delay));
+    m_timer.async_wait([state = m_state, generation](const boost::system::error_code &failure) {
+        if (!failure && state->generation == generation) {
+            state->hook();
+        }
+    });
+}
+
+void Watchdog::disarm()
+{
+    ++m_state->generation;
+    m_timer.cancel();
+}
+
+} // namespace pimentoshed::http
