Retry within a budget and end a stop by notification

A stop asked every 20 ms whether requests were left; the server now says when its last connection has ended. The wait before it covers the permission of the other hosts as well, which may give out this address until that ends. Attempts proven not run, or idempotent, go to another target within the deadline behind a hook.

--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -4,6 +4,8 @@
 #include "http/json.h"
 #include "http/relay.h"
 
+#include <algorithm>
+#include <charconv>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -45,7 +47,7 @@
 http::Reply refusal(const requests::Outcome &outcome)
 {
     auto reply = http::errorReply(statusOf(outcome.failure->code), *outcome.failure);
-    reply.headers.emplace_back("Pimentoshed-Run", core::nameOf(requests::RunStateNames, outcome.run));
+    reply.headers.emplace_back(http::RunHeader, core::nameOf(requests::RunStateNames, outcome.run));
     return reply;
 }
 
@@ -83,11 +85,22 @@
         const auto &limits = standing.configuration->limits;
         const core::FailureDomain preferred{std::string(exchange.queryValue("failure_domain"))};
         const auto chosen = membership::chooseAddresses(
-            m_parts.view.hosts(), outDomains(standing), preferred, limits.addressCount, m_parts.random);
+            hosts(), outDomains(standing), preferred, limits.addressCount, m_parts.random);
         const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(limits.addressLifetime).count();
         return http::jsonReply(status::ok, {{"keep_ms", keep}, {"addresses", chosen}});
     }
 
+    /** The hosts as known, but for what this one knows better of itself. */
+    std::vector<membership::EntryHost> hosts() const
+    {
+        auto known = m_parts.view.hosts();
+        const auto self = m_parts.self();
+        for (auto &host : known) {
+            host.stopping = host.stopping || (host.id == self.id && self.stopping);
+        }
+        return known;
+    }
+
     void serve(http::Exchange &exchange, const changes::Standing &standing) const
     {
         const auto *service = configuration::serviceForPath(*standing.configuration, exchange.path());
@@ -100,35 +113,124 @@
             exchange.send(notRun(ErrorCode::RequestKeyMissing, service->requestKeyHeader));
             return;
         }
-        const auto assignment =
-            m_parts.router.assign(*service, m_parts.targets.ofService(service->name), outDomains(standing));
-        if (!core::ok(assignment)) {
-            exchange.send(refusal({RunState::NotRun, core::error(assignment)}));
+        const auto deadline = deadlineOf(exchange, *service);
+        if (!core::ok(deadline)) {
+            exchange.send(refusal({RunState::NotRun, core::error(deadline)}));
             return;
         }
-        pass(exchange, *service, core::value(assignment));
+        http::RelayTerms terms;
+        terms.deadline = core::value(deadline);
+        terms.maxRequestBytes = service->maxRequestBytes;
+        terms.shedIsNotRun = service->shedIsNotRun;
+        terms.idempotent = idempotent;
+        runAttempts(exchange, *service, std::move(terms));
     }
 
-    void pass(http::Exchange &exchange,
-              const configuration::Service &service,
-              const routing::Assignment &assignment) const
+    core::Result<core::TimePoint> deadlineOf(const http::Exchange &exchange,
+                                             const configuration::Service &service) const
     {
-        http::RelayTerms terms;
-        terms.address = assignment.address;
-        terms.deadline = m_parts.timers.now() + service.deadline;
-        terms.maxRequestBytes = service.maxRequestBytes;
-        terms.shedIsNotRun = service.shedIsNotRun;
-        const auto result = http::relay(exchange, m_parts.connections, terms);
-        m_parts.router.release(assignment.target);
-        if (!result.outcome.failure) {
-            return;
+        const auto asked = exchange.header(http::DeadlineHeader);
+        const auto now = m_parts.timers.now();
+        if (asked.empty()) {
+            return now + service.deadline;
+        }
+        std::uint32_t millis = 0;
+        const auto [end, code] = std::from_chars(asked.data(), asked.data() + asked.size(), millis);
+        if (code != std::errc() || end != asked.data() + asked.size()) {
+            return core::Error{ErrorCode::RequestMalformed, std::string(http::DeadlineHeader)};
         }
+        return now + std::min<core::Duration>(service.deadline, std::chrono::milliseconds(millis));
+    }
+
+    /** Attempts until one answers the caller or no further one is allowed. */
+    void runAttempts(http::Exchange &exchange, const configuration::Service &service, http::RelayTerms terms) const
+    {
+        m_parts.firstAttempt(service);
+        std::vector<core::TargetId> tried;
+        requests::Outcome known;
+        while (true) {
+            const auto assignment = assign(service, tried);
+            if (!core::ok(assignment)) {
+                refuse(exchange, tried.empty() ? requests::Outcome{RunState::NotRun, core::error(assignment)} : known);
+                return;
+            }
+            const auto &given = core::value(assignment);
+            tried.push_back(given.target);
+            terms.address = given.address;
+            const auto result = http::relay(exchange, m_parts.connections, terms);
+            m_parts.router.release(given.target);
+            if (!result.outcome.failure) {
+                return;
+            }
+            logFailure(given.target, result);
+            known = together(known, result.outcome);
+            const RetryCase failed{
+                service, terms.idempotent, known.run, static_cast<unsigned>(tried.size()), timeLeft(terms)};
+            if (!canRepeat(result) || !m_parts.mayRetry(failed)) {
+                finish(exchange, result, known);
+                return;
+            }
+            exchange.body().rewind();
+        }
+    }
+
+    /** Each attempt sees the present configuration and targets, but for those that have failed this request. */
+    core::Result<routing::Assignment> assign(const configuration::Service &service,
+                                             const std::vector<core::TargetId> &tried) const
+    {
+        const auto standing = m_parts.view.current(m_parts.timers.now());
+        if (!core::ok(standing)) {
+            return core::error(standing);
+        }
+        auto known = m_parts.targets.ofService(service.name);
+        std::erase_if(known, [&tried](const targets::Target &target) {
+            return std::find(tried.begin(), tried.end(), target.id) != tried.end();
+        });
+        return m_parts.router.assign(service, known, outDomains(*core::value(standing)));
+    }
+
+    /** Not run only where no attempt ran. */
+    static requests::Outcome together(const requests::Outcome &before, const requests::Outcome &latest)
+    {
+        return {before.run == RunState::NotRun ? latest.run : before.run, latest.failure};
+    }
+
+    static bool canRepeat(const http::RelayResult &result)
+    {
+        return !result.answered && !result.bodyTaken && !result.callerGone
+            && result.outcome.failure->code == ErrorCode::TargetFailed;
+    }
+
+    core::Duration timeLeft(const http::RelayTerms &terms) const
+    {
+        return terms.deadline - m_parts.timers.now();
+    }
+
+    static void logFailure(const core::TargetId &target, const http::RelayResult &result)
+    {
         core::log(core::LogLevel::Info,
                   "attempt-failed",
-                  {{"target", assignment.target.str()}, {"error", describe(*result.outcome.failure)}});
-        if (!result.answered) {
-            exchange.send(refusal(result.outcome));
+                  {{"target", target.str()},
+                   {"stage", core::nameOf(requests::AttemptStageNames, result.stage)},
+                   {"error", describe(*result.outcome.failure)}});
+    }
+
+    static void finish(http::Exchange &exchange, const http::RelayResult &result, const requests::Outcome &known)
+    {
+        if (result.answered || result.callerGone) {
+            exchange.closeAfterwards();
+            return;
+        }
+        refuse(exchange, known);
+    }
+
+    /** A target that answered whole, but not to this caller, can't have its "ran" told in a refusal. */
+    static void refuse(http::Exchange &exchange, requests::Outcome outcome)
+    {
+        if (outcome.run == RunState::Ran) {
+            outcome.run = RunState::Unknown;
         }
+        exchange.send(refusal(outcome));
     }
 
     const CallerParts m_parts;
--- a/src/entry/callerfront.h
+++ b/src/entry/callerfront.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/timerservice.h"
+#include "entry/retry.h"
 #include "entry/view.h"
 #include "http/connectionpool.h"
 #include "http/server.h"
@@ -24,8 +25,12 @@
     http::ConnectionPool &connections;
     core::TimerService &timers;
     core::RandomSource random;
-    /** Whether this host no longer gives out addresses. */
-    std::function<bool()> stopping;
+    /** This host as it reports itself; it leaves the address answers once it is stopping. */
+    std::function<membership::EntryHost()> self;
+    /** Whether a failed attempt is followed by another. */
+    RetryHook mayRetry;
+    /** Told of each first attempt. */
+    std::function<void(const configuration::Service &)> firstAttempt;
 };
 
 /** The handler for an entry host's caller address. docs/INTERFACES.md lists what it serves. */
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -22,7 +22,6 @@
 
 constexpr auto ExpiryPeriod = std::chrono::milliseconds(500);
 constexpr auto IdleConnectionLimit = std::chrono::seconds(30);
-constexpr auto DrainCheckPeriod = std::chrono::milliseconds(20);
 
 core::RandomSource threadRandom()
 {
@@ -84,10 +83,12 @@
         m_stopping = true;
         if (m_callers) {
             m_callers->closeAfterAnswers();
-            waitFor(addressLifetime());
-            m_callers->drain();
+            waitFor(addressesHeld());
+        }
+        const auto left = finishRequests();
+        if (left > 0) {
+            core::log(core::LogLevel::Error, "stop-limit-passed", {{"requests_in_progress", left}});
         }
-        const auto left = waitForRequests();
         shutDown();
         return left;
     }
@@ -116,7 +117,11 @@
                                                    m_timers,
                                                    threadRandom(),
                                                    [this]() {
-                                                       return m_stopping.load();
+                                                       return self();
+                                                   },
+                                                   retryWithin(m_retryBudget),
+                                                   [this](const auto &service) {
+                                                       m_retryBudget.earn(service);
                                                    }}))
                            .start();
         if (!core::ok(callers)) {
@@ -159,10 +164,15 @@
         m_connections.closeIdle(m_timers.now(), IdleConnectionLimit);
     }
 
-    core::Duration addressLifetime() const
+    /**
+     * How long callers may still hold this host's address: another host may give it out until its permission ends, and
+     * what it gave out then lasts for the address lifetime.
+     */
+    core::Duration addressesHeld() const
     {
         const auto standing = m_view.latest();
-        return standing ? standing->configuration->limits.addressLifetime : core::Duration{};
+        return standing ? standing->configuration->limits.permission + standing->configuration->limits.addressLifetime
+                        : core::Duration{};
     }
 
     /** Waits on the timer service, as every wait here does. */
@@ -175,13 +185,24 @@
         done.get_future().wait();
     }
 
-    std::size_t waitForRequests()
+    /** Ends idle connections and waits for the others. Returns the requests still in progress at the stop limit. */
+    std::size_t finishRequests()
     {
-        const auto end = m_timers.now() + m_settings.stopLimit;
-        while (m_callers && m_callers->inProgress() > 0 && m_timers.now() < end) {
-            waitFor(DrainCheckPeriod);
+        if (!m_callers) {
+            return 0;
         }
-        return m_callers ? m_callers->inProgress() : 0;
+        // Shared: whichever of the two comes second may come after this function has returned.
+        const auto done = std::make_shared<std::promise<void>>();
+        const auto ended = std::make_shared<std::atomic<bool>>(false);
+        const auto end = [done, ended]() {
+            if (!ended->exchange(true)) {
+                done->set_value();
+            }
+        };
+        const auto limit = m_timers.after(m_settings.stopLimit, end);
+        m_callers->drain(end);
+        done->get_future().wait();
+        return m_callers->inProgress();
     }
 
     const EntrySettings m_settings;
@@ -194,6 +215,7 @@
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     http::ConnectionPool m_connections;
+    RetryBudget m_retryBudget;
     std::shared_ptr<Follower> m_follower;
     std::shared_ptr<http::Server> m_callers;
     std::shared_ptr<http::Server> m_platform;
