Test the relay, its callers and its server over raw sockets

Timers ran on Asio's system executor, not on the coroutine's strand: a yield context of Boost 1.74 has no associated executor. AddressSanitizer saw it as a use after free once a caller went away.

--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -84,8 +84,8 @@
     {
         const auto &limits = standing.configuration->limits;
         const core::FailureDomain preferred{std::string(exchange.queryValue("failure_domain"))};
-        const auto chosen = membership::chooseAddresses(
-            hosts(), outDomains(standing), preferred, limits.addressCount, m_parts.random);
+        const auto chosen =
+            membership::chooseAddresses(hosts(), outDomains(standing), preferred, limits.addressCount, m_parts.random);
         const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(limits.addressLifetime).count();
         return http::jsonReply(status::ok, {{"keep_ms", keep}, {"addresses", chosen}});
     }
@@ -198,7 +198,7 @@
     static bool canRepeat(const http::RelayResult &result)
     {
         return !result.answered && !result.bodyTaken && !result.callerGone
-            && result.outcome.failure->code == ErrorCode::TargetFailed;
+               && result.outcome.failure->code == ErrorCode::TargetFailed;
     }
 
     core::Duration timeLeft(const http::RelayTerms &terms) const
--- a/src/http/answerwriter.cpp
+++ b/src/http/answerwriter.cpp
@@ -96,8 +96,7 @@
     m_stall.arm(m_pace.left());
     const auto began = core::steadyNow();
     boost::system::error_code failure;
-    const auto count =
-        boost::asio::async_write(m_exchange.stream(), boost::asio::buffer(m_held), yield[failure]);
+    const auto count = boost::asio::async_write(m_exchange.stream(), boost::asio::buffer(m_held), yield[failure]);
     m_stall.disarm();
     m_pace.moved(count, core::steadyNow() - began);
     m_held.clear();
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -35,7 +35,7 @@
 bool closedByPeer(const beast::error_code &failure)
 {
     return failure == message::error::end_of_stream || failure == asio::error::eof
-        || failure == asio::error::connection_reset || failure == asio::error::broken_pipe;
+           || failure == asio::error::connection_reset || failure == asio::error::broken_pipe;
 }
 
 } // namespace
@@ -46,20 +46,20 @@
     , m_connection(std::move(connection))
     , m_caller(exchange.stream())
     , m_yield(exchange.yield())
-    , m_deadline(m_yield,
+    , m_deadline(m_caller.get_executor(),
                  [this]() {
                      abort(ErrorCode::DeadlinePassed, {});
                  })
-    , m_readStall(m_yield,
+    , m_readStall(m_caller.get_executor(),
                   [this]() {
                       abort(ErrorCode::CallerTooSlow, "sending its request");
                   })
-    , m_writeStall(m_yield,
+    , m_writeStall(m_caller.get_executor(),
                    [this]() {
                        m_callerGone = true;
                        abort(ErrorCode::CallerTooSlow, "reading its answer");
                    })
-    , m_uploadEnd(asio::get_associated_executor(m_yield))
+    , m_uploadEnd(m_caller.get_executor())
     , m_readPace(terms.pace)
     , m_writePace(terms.pace)
 {
@@ -263,7 +263,7 @@
     message::async_read_header(m_connection->socket, m_connection->buffer, *m_answer, m_yield[failure]);
     if (failure) {
         m_stale = !m_failure && m_connection->reused && m_connection->buffer.size() == 0 && !m_answer->got_some()
-            && closedByPeer(failure);
+                  && closedByPeer(failure);
         abort(ErrorCode::TargetFailed, failure.message());
         return false;
     }
@@ -370,8 +370,7 @@
             abort(ErrorCode::CallerTooSlow, "it closed its connection");
         }
     };
-    m_caller.socket().async_wait(asio::socket_base::wait_read,
-                                 asio::bind_executor(asio::get_associated_executor(m_yield), gone));
+    m_caller.socket().async_wait(asio::socket_base::wait_read, asio::bind_executor(m_caller.get_executor(), gone));
 }
 
 void Attempt::unwatchCaller()
--- a/src/http/headers.cpp
+++ b/src/http/headers.cpp
@@ -69,7 +69,7 @@
         return "more than one Content-Length or Transfer-Encoding";
     }
     if (codings == 1 && version != Version11) {
-        return "Transfer-Encoding before HTTP/1.1";
+        return "Transfer-Encoding in an old version of HTTP";
     }
     if (codings == 1 && !beast::iequals(fields[message::field::transfer_encoding], "chunked")) {
         return "a Transfer-Encoding other than chunked";
--- a/src/http/watchdog.cpp
+++ b/src/http/watchdog.cpp
@@ -12,9 +12,9 @@
     unsigned generation = 0;
 };
 
-Watchdog::Watchdog(const Yield &yield, std::function<void()> hook)
+Watchdog::Watchdog(const boost::asio::any_io_executor &executor, std::function<void()> hook)
     : m_state(std::make_shared<State>())
-    , m_timer(boost::asio::get_associated_executor(yield))
+    , m_timer(executor)
 {
     m_state->hook = std::move(hook);
 }
--- a/src/http/watchdog.h
+++ b/src/http/watchdog.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "core/time.h"
-#include "http/exchange.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -18,7 +18,8 @@
 class Watchdog
 {
 public:
-    Watchdog(const Yield &yield, std::function<void()> hook);
+    /** @p executor is the strand that also runs the coroutine. */
+    Watchdog(const boost::asio::any_io_executor &executor, std::function<void()> hook);
     ~Watchdog();
     Watchdog(const Watchdog &) = delete;
     Watchdog &operator=(const Watchdog &) = delete;
--- /dev/null
+++ b/tests/http/server.cpp
@@ -0,0 +1,194 @@
+#include "http/server.h"
+
+#include "core/random.h"
+#include "http/fakes.h"
+#include "http/json.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+
+using namespace pimentoshed;
+using namespace pimentoshed::http;
+using namespace pimentoshed::http::fakes;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const std::string Get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/** A server that answers each request with its body after a while. */
+class Echo
+{
+public:
+    explicit Echo(ServerLimits limits = {})
+        : m_pool(2)
+    {
+        auto made = Server::Builder(m_pool.context())
+                        .address("127.0.0.1:0")
+                        .limits(limits)
+                        .handler([this](Exchange &exchange) {
+                            answer(exchange);
+                        })
+                        .start();
+        REQUIRE(core::ok(made));
+        server = core::value(made);
+    }
+
+    ~Echo()
+    {
+        std::promise<void> done;
+        server->drain([&done]() {
+            done.set_value();
+        });
+        done.get_future().wait_for(std::chrono::seconds(8));
+        m_pool.stop();
+    }
+
+    Echo(const Echo &) = delete;
+    Echo &operator=(const Echo &) = delete;
+
+    RawSocket caller() const
+    {
+        return RawSocket::connect(server->address());
+    }
+
+    std::shared_ptr<Server> server;
+    std::atomic<unsigned> pauseMillis{0};
+
+private:
+    void answer(Exchange &exchange)
+    {
+        constexpr std::uint64_t BodyBytes = 4096;
+        const auto body = exchange.readBody(BodyBytes);
+        boost::asio::steady_timer timer(m_pool.context(), milliseconds(pauseMillis));
+        boost::system::error_code ignored;
+        timer.async_wait(exchange.yield()[ignored]);
+        Reply reply;
+        reply.body = core::ok(body) ? core::value(body) : core::describe(core::error(body));
+        exchange.send(reply);
+    }
+
+    core::WorkerPool m_pool;
+};
+
+constexpr std::array MalformedRequests{
+    "nonsense\r\n\r\n",
+    "GET /a HTTP/2.0\r\nHost: x\r\n\r\n",
+    "GET /a HTTP/1.1\r\n\r\n",
+    "GET /a HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+    "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na",
+    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999999999999\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /a HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "GET /a HTTP/1.1\r\nHost : x\r\n\r\n",
+    "GET /a HTTP/1.1\r\nHost: x\r\n\x01: y\r\n\r\n",
+};
+
+} // namespace
+
+TEST_CASE("a request whose end two readers could see differently is refused as not run and ends the connection")
+{
+    Echo echo;
+    for (const std::string request : MalformedRequests) {
+        INFO(request);
+        auto caller = echo.caller();
+        caller.write(request + Get);
+        caller.closeSending();
+        const auto answer = caller.readAll();
+        CHECK(answer.starts_with("HTTP/1.1 400"));
+        CHECK(answer.find("Pimentoshed-Run: not-run") != std::string::npos);
+        CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    }
+}
+
+TEST_CASE("mutated requests neither crash nor halt the server")
+{
+    const auto random = core::seededRandom(20260801);
+    const std::string whole = "POST /a?b=c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+                              "Expect: 100-continue\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    Echo echo;
+    for (int round = 0; round < 300; ++round) {
+        auto bytes = whole;
+        for (std::size_t changes = 1 + core::below(random, 3); changes > 0; --changes) {
+            bytes[core::below(random, bytes.size())] = static_cast<char>(core::below(random, 256));
+        }
+        auto caller = echo.caller();
+        caller.write(bytes);
+        caller.closeSending();
+        caller.readAll();
+    }
+    auto caller = echo.caller();
+    caller.write(Get);
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("heads that are too large or too slow are cut off")
+{
+    ServerLimits limits;
+    limits.headerBytes = 1024;
+    limits.headerTimeout = milliseconds(100);
+    limits.idleTimeout = milliseconds(100);
+    Echo echo(limits);
+    auto large = echo.caller();
+    large.write("GET /a HTTP/1.1\r\nHost: x\r\nX-Large: " + std::string(2000, 'a') + "\r\n\r\n");
+    CHECK(large.readAll().starts_with("HTTP/1.1 400"));
+    auto slow = echo.caller();
+    slow.write("GET /a HTTP/1.1\r\nHo");
+    CHECK(slow.readAll().empty());
+    auto idle = echo.caller();
+    CHECK(idle.readAll().empty());
+}
+
+TEST_CASE("an answer to HEAD has no body")
+{
+    Echo echo;
+    auto caller = echo.caller();
+    caller.write("HEAD /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab" + Get);
+    CHECK(caller.readUntil("\r\n\r\n").find("Content-Length: 2") != std::string::npos);
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("a drain ends idle connections, finishes what is in progress and then says so")
+{
+    Echo echo;
+    auto idle = echo.caller();
+    idle.write(Get);
+    idle.readUntil("\r\n\r\n");
+    echo.pauseMillis = 300;
+    auto busy = echo.caller();
+    busy.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na");
+    std::this_thread::sleep_for(milliseconds(50));
+    std::promise<void> done;
+    auto ended = done.get_future();
+    echo.server->drain([&done]() {
+        done.set_value();
+    });
+    CHECK(idle.readAll().empty());
+    CHECK(ended.wait_for(milliseconds(50)) == std::future_status::timeout);
+    busy.write("b");
+    CHECK(busy.readAll().ends_with("\r\n\r\nab"));
+    CHECK(ended.wait_for(milliseconds(2000)) == std::future_status::ready);
+    CHECK(echo.server->inProgress() == 0);
+}
+
+TEST_CASE("a host that is about to close says so with each answer and still takes connections")
+{
+    Echo echo;
+    echo.server->closeAfterAnswers();
+    for (int i = 0; i < 2; ++i) {
+        auto caller = echo.caller();
+        caller.write(Get);
+        const auto answer = caller.readAll();
+        CHECK(answer.find("Connection: close") != std::string::npos);
+    }
+}
--- /dev/null
+++ b/tests/processes/gracefulstop.cpp
@@ -0,0 +1,156 @@
+#include "processes/harness.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <optional>
+#include <thread>
+
+#include "http/address.h"
+
+using namespace pimentoshed;
+using namespace pimentoshed::processes;
+namespace beast = boost::beast;
+
+namespace
+{
+
+const std::string LibraryFile = PIMENTOSHED_SOURCE "/examples/library.toml";
+
+/** Sends lookups to one entry host without a break and checks each answer against its own request. */
+class SteadyCaller
+{
+public:
+    explicit SteadyCaller(std::string address)
+        : m_address(std::move(address))
+        , m_thread([this]() {
+            run();
+        })
+    {
+    }
+
+    ~SteadyCaller()
+    {
+        end();
+    }
+
+    void end()
+    {
+        m_ended = true;
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    std::atomic<unsigned> answered{0};
+    std::atomic<unsigned> wrong{0};
+
+private:
+    void run()
+    {
+        for (unsigned number = 0; !m_ended; ++number) {
+            try {
+                lookUp(fmt::format("/catalogue/{}/{}", m_address, number));
+            } catch (const std::exception &failure) {
+                ++wrong;
+                m_stream.reset();
+                fmt::print(stderr, "{}: {}\n", m_address, failure.what());
+            }
+        }
+    }
+
+    void lookUp(const std::string &path)
+    {
+        if (!m_stream) {
+            m_stream.emplace(m_context);
+            m_stream->connect(core::value(http::parseAddress(m_address)));
+        }
+        beast::http::request<beast::http::empty_body> request(beast::http::verb::get, path, 11);
+        request.set(beast::http::field::host, m_address);
+        beast::http::write(*m_stream, request);
+        beast::flat_buffer buffer;
+        beast::http::response<beast::http::string_body> answer;
+        beast::http::read(*m_stream, buffer, answer);
+        ++answered;
+        if (answer.result_int() != 200 || answer.body() != "GET " + path + " ") {
+            ++wrong;
+            fmt::print(stderr, "{}: {} {}\n", path, answer.result_int(), answer.body());
+        }
+        if (!answer.keep_alive()) {
+            m_stream.reset();
+        }
+    }
+
+    const std::string m_address;
+    std::atomic<bool> m_ended{false};
+    boost::asio::io_context m_context;
+    std::optional<beast::tcp_stream> m_stream;
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("a stop of a target, an entry host and the control host under load cuts nothing off")
+{
+    constexpr unsigned EntryHosts = 4;
+    Fleet fleet(20, EntryHosts);
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(), LibraryFile}) == 0);
+    fleet.addTargets("catalogue", 6);
+    REQUIRE(fleet.settles(6));
+    std::vector<std::unique_ptr<SteadyCaller>> callers;
+    for (unsigned i = 0; i < EntryHosts; ++i) {
+        callers.push_back(std::make_unique<SteadyCaller>(fleet.callerAddress(i)));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    fleet.target(0).signal(SIGTERM);
+    CHECK(fleet.target(0).wait() == 0);
+
+    fleet.entry(0).signal(SIGTERM);
+    const auto told = [&fleet](unsigned entry) {
+        const auto answer = ask(fleet.callerAddress(entry), "/pimentoshed/v1/addresses?failure_domain=ravne");
+        return core::ok(answer) && core::value(answer).body.find(fleet.callerAddress(0)) != std::string::npos;
+    };
+    for (unsigned i = 0; i < EntryHosts; ++i) {
+        CHECK(eventually(
+            [&told, i]() {
+                return !told(i);
+            },
+            std::chrono::seconds(2)));
+    }
+    // A caller that got the address just before may use it for its lifetime.
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    callers[0]->end();
+    CHECK(fleet.entry(0).wait() == 0);
+
+    fleet.control().signal(SIGTERM);
+    CHECK(fleet.control().wait() == 0);
+    for (const auto &caller : callers) {
+        caller->end();
+        CHECK(caller->wrong == 0);
+        CHECK(caller->answered > 100);
+    }
+}
+
+TEST_CASE("a stop that ends with a request in progress says so by its exit code")
+{
+    setenv("PIMENTOSHED_STOP_LIMIT", "0", 1);
+    Fleet fleet(21, 1);
+    unsetenv("PIMENTOSHED_STOP_LIMIT");
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(), LibraryFile}) == 0);
+    fleet.addTargets("loans", 1, {"--service-micros=4500000"});
+    REQUIRE(fleet.settles(1));
+    fleet.entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::seconds(6));
+    std::thread caller([&fleet]() {
+        ask(fleet.callerAddress(0), "/loans/", "POST", "card 17", {{"Idempotency-Key", "loan-1"}});
+    });
+    constexpr int StoppedWithWork = 4;
+    CHECK(fleet.entry(0).wait() == StoppedWithWork);
+    caller.join();
+}
