--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -32,6 +32,8 @@
         return status::bad_request;
     case ErrorCode::RequestTooLarge:
         return status::payload_too_large;
+    case ErrorCode::CallerTooSlow:
+        return status::request_timeout;
     case ErrorCode::DeadlinePassed:
         return status::gateway_timeout;
     case ErrorCode::TargetFailed:
--- a/tests/http/server.cpp
+++ b/tests/http/server.cpp
@@ -22,6 +22,9 @@
 /** A server that answers each request with its body after a while. */
 class Echo
 {
+    // The server must go before its workers.
+    core::WorkerPool m_pool;
+
 public:
     explicit Echo(ServerLimits limits = {})
         : m_pool(2)
@@ -70,8 +73,6 @@
         reply.body = core::ok(body) ? core::value(body) : core::describe(core::error(body));
         exchange.send(reply);
     }
-
-    core::WorkerPool m_pool;
 };
 
 constexpr std::array MalformedRequests{
@@ -168,10 +169,10 @@
     auto busy = echo.caller();
     busy.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na");
     std::this_thread::sleep_for(milliseconds(50));
-    std::promise<void> done;
-    auto ended = done.get_future();
-    echo.server->drain([&done]() {
-        done.set_value();
+    const auto done = std::make_shared<std::promise<void>>();
+    auto ended = done->get_future();
+    echo.server->drain([done]() {
+        done->set_value();
     });
     CHECK(idle.readAll().empty());
     CHECK(ended.wait_for(milliseconds(50)) == std::future_status::timeout);
