--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -3,6 +3,7 @@
 #include "http/address.h"
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -90,7 +91,7 @@
 
 void Attempt::giveBack(ConnectionPool &pool)
 {
-    if (m_keep) {
+    if (m_keep && m_uploaded) {
         pool.give(m_terms.address, std::move(m_connection), core::steadyNow());
     }
 }
@@ -225,6 +226,10 @@
 void Attempt::endUpload()
 {
     unwatchCaller();
+    if (m_uploading) {
+        // The last write may have ended already, with its handler still queued.
+        asio::post(m_caller.get_executor(), m_yield);
+    }
     if (m_uploading) {
         // The answer has ended, or never will come: this target needs no more of the body.
         boost::system::error_code ignored;
@@ -290,7 +295,7 @@
         return;
     }
     advance(AttemptStage::AnswerStarted);
-    if (m_uploading) {
+    if (!m_exchange.body().received()) {
         m_exchange.closeAfterwards();
     }
     AnswerWriter writer(m_exchange, m_writePace, m_writeStall);
@@ -302,7 +307,7 @@
     const bool passed = passBody(writer) && writer.flush(m_yield);
     m_answered = writer.started();
     if (passed && !m_failure) {
-        m_keep = m_uploaded && m_answer->keep_alive() && m_connection->buffer.size() == 0;
+        m_keep = m_answer->keep_alive() && m_connection->buffer.size() == 0;
         return;
     }
     m_exchange.closeAfterwards();
--- a/src/http/requestbody.cpp
+++ b/src/http/requestbody.cpp
@@ -16,6 +16,9 @@
 
 std::optional<std::uint64_t> declaredLength(const RequestParser &parser)
 {
+    if (!parser.is_header_done()) {
+        return std::nullopt;
+    }
     const auto length = parser.content_length();
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
