--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -2,7 +2,6 @@
 
 #include "http/address.h"
 
-#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/write.hpp>
