--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -79,7 +79,9 @@
 
     void stop()
     {
-        m_stopped = true;
+        if (m_stopped.exchange(true)) {
+            return;
+        }
         m_serveTimer.cancel();
         for (const auto &feed : m_feeds) {
             feed->stop();
--- a/src/control/operatorfront.cpp
+++ b/src/control/operatorfront.cpp
@@ -128,7 +128,7 @@
     http::Reply decide(http::Exchange &exchange, const changes::Change &change) const
     {
         const auto answer =
-            http::await<changes::Answer>(exchange.yield(), [this, &change](std::function<void(changes::Answer)> done) {
+            http::await<changes::Answer>(exchange, [this, &change](std::function<void(changes::Answer)> done) {
                 m_hooks.change(change, std::move(done));
             });
         return answerReply(answer);
--- a/src/http/await.h
+++ b/src/http/await.h
@@ -17,9 +17,12 @@
 namespace pimentoshed::http
 {
 
-/** Runs @p start with a hook and yields until that hook was called; its value. The hook must be called once. */
+/**
+ * Runs @p start with a hook and yields the exchange's coroutine until that hook was called; its value. The hook must be
+ * called once.
+ */
 template<typename Value>
-Value await(const Yield &yield, const std::function<void(std::function<void(Value)>)> &start)
+Value await(Exchange &exchange, const std::function<void(std::function<void(Value)>)> &start)
 {
     struct State {
         explicit State(const boost::asio::any_io_executor &executor)
@@ -30,7 +33,8 @@
         boost::asio::steady_timer timer;
         std::optional<Value> value;
     };
-    const boost::asio::any_io_executor executor = boost::asio::get_associated_executor(yield);
+    // Not the yield's associated executor: in Boost 1.74 that is the system's, outside the strand.
+    const boost::asio::any_io_executor executor = exchange.stream().get_executor();
     const auto state = std::make_shared<State>(executor);
     start([state, executor](Value value) {
         // On the coroutine's own strand, so that it is seen either before the wait or by it.
@@ -41,7 +45,7 @@
     });
     while (!state->value) {
         boost::system::error_code cancelled;
-        state->timer.async_wait(yield[cancelled]);
+        state->timer.async_wait(exchange.yield()[cancelled]);
     }
     return std::move(*state->value);
 }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,164 +3,27 @@
 #include "core/log.h"
 #include "core/rankedmutex.h"
 #include "http/address.h"
+#include "http/serverconnection.h"
 
-#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/spawn.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
-#include <limits>
-#include <optional>
-#include <unordered_set>
+#include <vector>
 
 namespace pimentoshed::http
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 
-namespace
-{
-
-/** A connection's coroutine holds pieces of bodies and whole messages; pages that it does not touch cost nothing. */
-constexpr std::size_t StackBytes = 512UL << 10U;
-
-/** State that the server and its connections share. */
-struct Shared {
-    Shared(Handler requestHandler, ServerLimits serverLimits)
-        : handler(std::move(requestHandler))
-        , limits(serverLimits)
-    {
-    }
-
-    const Handler handler;
-    const ServerLimits limits;
-    std::atomic<bool> closing{false};
-    std::atomic<bool> draining{false};
-    std::atomic<std::size_t> inProgress{0};
-};
-
-/** One accepted connection. Lives as long as its coroutine. */
-class Connection : public std::enable_shared_from_this<Connection>
-{
-public:
-    Connection(tcp::socket socket, std::shared_ptr<Shared> shared)
-        : m_stream(std::move(socket))
-        , m_shared(std::move(shared))
-    {
-    }
-
-    void start()
-    {
-        asio::spawn(
-            m_stream.get_executor(),
-            [self = shared_from_this()](const Yield &yield) {
-                self->serve(yield);
-            },
-            boost::coroutines::attributes(StackBytes));
-    }
-
-    /** Closes the connection unless a request is in progress on it. */
-    void closeIfIdle()
-    {
-        asio::post(m_stream.get_executor(), [self = shared_from_this()]() {
-            if (!self->m_busy) {
-                self->m_stream.cancel();
-            }
-        });
-    }
-
-private:
-    void serve(const Yield &yield)
-    {
-        beast::error_code ignored;
-        m_stream.socket().set_option(tcp::no_delay(true), ignored);
-        while (serveOne(yield)) {
-        }
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        m_stream.close();
-    }
-
-    /** Whether another request may follow. */
-    bool serveOne(const Yield &yield)
-    {
-        RequestParser parser;
-        parser.header_limit(m_shared->limits.headerBytes);
-        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-        if (!awaitFirstByte(yield) || !readHeader(parser, yield)) {
-            return false;
-        }
-        m_busy = true;
-        ++m_shared->inProgress;
-        m_stream.expires_never();
-        Exchange exchange(m_stream, m_buffer, parser, yield);
-        if (m_shared->closing) {
-            exchange.closeAfterwards();
-        }
-        m_shared->handler(exchange);
-        --m_shared->inProgress;
-        m_busy = false;
-        return !exchange.closes() && !m_shared->draining;
-    }
-
-    bool awaitFirstByte(const Yield &yield)
-    {
-        constexpr std::size_t FirstReadBytes = 4096;
-        if (m_buffer.size() > 0) {
-            return true;
-        }
-        m_stream.expires_after(m_shared->limits.idleTimeout);
-        beast::error_code failure;
-        const auto count = m_stream.async_read_some(m_buffer.prepare(FirstReadBytes), yield[failure]);
-        m_buffer.commit(count);
-        return !failure;
-    }
-
-    bool readHeader(RequestParser &parser, const Yield &yield)
-    {
-        m_stream.expires_after(m_shared->limits.headerTimeout);
-        beast::error_code failure;
-        beast::http::async_read_header(m_stream, m_buffer, parser, yield[failure]);
-        if (!failure) {
-            return true;
-        }
-        if (failure != beast::error::timeout && failure != beast::http::error::end_of_stream) {
-            refuseMalformed(failure, parser, yield);
-        }
-        return false;
-    }
-
-    void refuseMalformed(const beast::error_code &failure, RequestParser &parser, const Yield &yield)
-    {
-        Exchange exchange(m_stream, m_buffer, parser, yield);
-        exchange.closeAfterwards();
-        const core::Error problem{core::ErrorCode::RequestMalformed, failure.message()};
-        Reply reply;
-        reply.status = beast::http::status::bad_request;
-        reply.contentType = "text/plain";
-        reply.headers.emplace_back("Pimentoshed-Run", "not-run");
-        reply.body = core::describe(problem) + "\n";
-        exchange.send(reply);
-    }
-
-    beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
-    std::shared_ptr<Shared> m_shared;
-    bool m_busy = false;
-};
-
-} // namespace
-
 class Server::Impl : public std::enable_shared_from_this<Server::Impl>
 {
 public:
     Impl(asio::io_context &context, Handler handler, ServerLimits limits)
         : m_context(context)
         , m_acceptor(asio::make_strand(context))
-        , m_shared(std::make_shared<Shared>(std::move(handler), limits))
+        , m_shared(std::make_shared<ServerState>(std::move(handler), limits))
     {
     }
 
@@ -200,7 +63,7 @@
         m_shared->closing = true;
         m_shared->draining = true;
         asio::post(m_acceptor.get_executor(), [self = shared_from_this()]() {
-            self->m_acceptor.close();
+            self->closeAcceptor();
         });
         const core::Lock lock(m_mutex);
         for (const auto &connection : m_connections) {
@@ -211,7 +74,7 @@
         m_connections.clear();
     }
 
-    Shared &shared()
+    ServerState &shared()
     {
         return *m_shared;
     }
@@ -222,13 +85,30 @@
     }
 
 private:
+    /** Takes what callers have already connected, then closes. */
+    void closeAcceptor()
+    {
+        boost::system::error_code failure;
+        m_acceptor.non_blocking(true, failure);
+        while (m_acceptor.is_open() && !failure) {
+            tcp::socket socket(asio::make_strand(m_context));
+            m_acceptor.accept(socket, failure);
+            if (!failure) {
+                std::make_shared<ServerConnection>(std::move(socket), m_shared)->start();
+            }
+        }
+        m_acceptor.close(failure);
+        m_shared->accepting = false;
+        m_shared->notifyIfDone();
+    }
+
     void accepted(const boost::system::error_code &failure, tcp::socket socket)
     {
         if (failure == asio::error::operation_aborted || !m_acceptor.is_open()) {
             return;
         }
         if (!failure) {
-            auto connection = std::make_shared<Connection>(std::move(socket), m_shared);
+            auto connection = std::make_shared<ServerConnection>(std::move(socket), m_shared);
             keep(connection);
             connection->start();
         } else {
@@ -237,11 +117,11 @@
         accept();
     }
 
-    void keep(const std::shared_ptr<Connection> &connection)
+    void keep(const std::shared_ptr<ServerConnection> &connection)
     {
         const core::Lock lock(m_mutex);
         if (++m_acceptedSinceSweep > m_connections.size() / 2 + SweepMinimum) {
-            std::erase_if(m_connections, [](const std::weak_ptr<Connection> &any) {
+            std::erase_if(m_connections, [](const std::weak_ptr<ServerConnection> &any) {
                 return any.expired();
             });
             m_acceptedSinceSweep = 0;
@@ -253,10 +133,10 @@
 
     asio::io_context &m_context;
     tcp::acceptor m_acceptor;
-    std::shared_ptr<Shared> m_shared;
+    std::shared_ptr<ServerState> m_shared;
     std::string m_address;
     core::RankedMutex m_mutex{core::LockRank::Connections};
-    std::vector<std::weak_ptr<Connection>> m_connections;
+    std::vector<std::weak_ptr<ServerConnection>> m_connections;
     std::size_t m_acceptedSinceSweep = 0;
 };
 
@@ -319,6 +199,12 @@
     m_impl->drain();
 }
 
+void Server::drain(std::function<void()> onDone)
+{
+    m_impl->shared().setOnDone(std::move(onDone));
+    m_impl->drain();
+}
+
 std::size_t Server::inProgress() const
 {
     return m_impl->shared().inProgress;
