--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -107,13 +107,15 @@
                     table->expire({});
                 }));
     const auto hub = hubOf(size, 0);
-    results.add(Measure::FullFeedBytes, size, static_cast<double>(replyOf(hub->newsSince(0)).ByteSizeLong()));
+    results.add(Measure::FullFeedBytes,
+                size,
+                static_cast<double>(replyOf(hub->newsSince(0, membership::Audience::EntryHosts)).ByteSizeLong()));
     results.add(Measure::FeedAnswerCpu, size, cpuMicros([&]() {
                     auto &word = words[next++ % size];
                     const auto position = hub->position();
                     ++word.word.sequence;
                     hub->learn(word);
-                    replyOf(hub->newsSince(position)).SerializeAsString();
+                    replyOf(hub->newsSince(position, membership::Audience::EntryHosts)).SerializeAsString();
                 }));
 }
 
@@ -121,12 +123,20 @@
 {
     const auto table = tableOf(size, 1);
     routing::Router router(
-        routing::makePicker(routing::PickerKind::LeastRequests), core::FailureDomain("ravne"), core::seededRandom(1));
-    configuration::Service service;
-    service.name = sampleService(0);
+        core::FailureDomain("ravne"),
+        {routing::makePicker(routing::PickerKind::LeastExpectedTime), nullptr, core::seededRandom(1), nullptr, true});
+    configuration::Configuration configuration;
+    configuration.services.emplace_back().name = sampleService(0);
+    const auto service = configuration.services.front().name;
+    router.configure(std::make_shared<const configuration::Configuration>(std::move(configuration)));
+    for (const auto &target : table->all()) {
+        router.update(target);
+    }
+    core::TimePoint now;
     results.add(Measure::RoutingCpu, size, cpuMicros([&]() {
-                    const auto given = router.assign(service, table->ofService(service.name), {});
-                    router.release(core::value(given).target);
+                    now += std::chrono::microseconds(1);
+                    const auto given = router.assign(service, now);
+                    router.release(core::value(given), {routing::AttemptOutcome::Answered, {}, std::nullopt}, now);
                 }));
 }
 
@@ -136,7 +146,9 @@
                     return hubOf(0, size);
                 }));
     const auto hub = hubOf(0, size);
-    results.add(Measure::HostListBytes, size, static_cast<double>(replyOf(hub->newsSince(0)).ByteSizeLong()));
+    results.add(Measure::HostListBytes,
+                size,
+                static_cast<double>(replyOf(hub->newsSince(0, membership::Audience::EntryHosts)).ByteSizeLong()));
     const auto hosts = hub->hosts();
     const auto random = core::seededRandom(1);
     results.add(Measure::AddressCpu, size, cpuMicros([&]() {
