Drain a server without holding its list of connections

Cause: the drain held the list's lock while it held each connection; where that was the last hold, the connection's end took a lock of the same rank and the checked build aborted. The list is taken out under the lock and gone through without it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <fmt/format.h>
+#include <utility>
 #include <vector>
 
 namespace pimentoshed::http
@@ -65,13 +66,12 @@
         asio::post(m_acceptor.get_executor(), [self = shared_from_this()]() {
             self->closeAcceptor();
         });
-        const core::Lock lock(m_mutex);
-        for (const auto &connection : m_connections) {
+        // Not under the lock: what is held here may be the last of a connection, whose end takes a lock of its own.
+        for (const auto &connection : takeConnections()) {
             if (const auto alive = connection.lock()) {
                 alive->closeIfIdle();
             }
         }
-        m_connections.clear();
     }
 
     ServerState &shared()
@@ -117,6 +117,12 @@
         accept();
     }
 
+    std::vector<std::weak_ptr<ServerConnection>> takeConnections()
+    {
+        const core::Lock lock(m_mutex);
+        return std::exchange(m_connections, {});
+    }
+
     void keep(const std::shared_ptr<ServerConnection> &connection)
     {
         const core::Lock lock(m_mutex);
--- a/tests/http/server.cpp
+++ b/tests/http/server.cpp
@@ -193,3 +193,22 @@
         CHECK(answer.find("Connection: close") != std::string::npos);
     }
 }
+
+TEST_CASE("connections may end while a drain goes through them")
+{
+    // A connection's last holder can be the drain itself; this once locked out of order.
+    constexpr int Rounds = 30;
+    constexpr int Callers = 200;
+    for (int round = 0; round < Rounds; ++round) {
+        const Echo echo;
+        std::vector<RawSocket> callers;
+        callers.reserve(Callers);
+        for (int i = 0; i < Callers; ++i) {
+            callers.push_back(echo.caller());
+        }
+        // The workers end these connections while the drain goes through them.
+        callers.clear();
+        echo.server->drain();
+    }
+    SUCCEED();
+}
