--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -122,13 +122,15 @@
 void measureRouting(Results &results, unsigned size)
 {
     const auto table = tableOf(size, 1);
-    routing::Router router(
-        core::FailureDomain("ravne"),
-        {routing::makePicker(routing::PickerKind::LeastExpectedTime), nullptr, core::seededRandom(1), nullptr, true});
-    configuration::Configuration configuration;
-    configuration.services.emplace_back().name = sampleService(0);
-    const auto service = configuration.services.front().name;
-    router.configure(std::make_shared<const configuration::Configuration>(std::move(configuration)));
+    routing::RouterHooks hooks;
+    hooks.picker = routing::makePicker(routing::PickerKind::LeastExpectedTime);
+    hooks.random = core::seededRandom(1);
+    routing::Router router(core::FailureDomain("ravne"), hooks);
+    const auto service = sampleService(0);
+    const auto file = std::make_shared<configuration::Configuration>();
+    file->services = {configuration::Service{}};
+    file->services.front().name = service;
+    router.configure(file);
     for (const auto &target : table->all()) {
         router.update(target);
     }
