Refuse characters beyond ASCII where toml++ goes undefined

Such a byte is now a mistake with its line, before toml++ sees it; strings and comments may hold it. A line with triple quotes and such a byte is refused too, as its strings can't be told from one line alone; no key takes such text. Conclusion: what the library leaves undefined is kept from it.

--- a/src/configuration/syntax.cpp
+++ b/src/configuration/syntax.cpp
@@ -161,7 +161,37 @@
     return best;
 }
 
-std::vector<Mistake> checkSize(std::string_view text, const Lines &lines)
+/** Whether @p line has a byte beyond ASCII where toml++ would take it for a key or a space: that is undefined there. */
+bool hasForeignByte(std::string_view line)
+{
+    constexpr unsigned char LastAscii = 0x7f;
+    const auto foreign = [](char c) {
+        return static_cast<unsigned char>(c) > LastAscii;
+    };
+    if (std::none_of(line.begin(), line.end(), foreign)) {
+        return false;
+    }
+    if (line.find("\"\"\"") != std::string_view::npos || line.find("'''") != std::string_view::npos) {
+        return true;
+    }
+    char quote = 0;
+    for (std::size_t i = 0; i < line.size(); ++i) {
+        const char c = line[i];
+        if (quote == 0 && (c == '#' || foreign(c))) {
+            return c != '#';
+        }
+        if (quote == '"' && c == '\\') {
+            ++i;
+        } else if (quote == c) {
+            quote = 0;
+        } else if (quote == 0 && (c == '"' || c == '\'')) {
+            quote = c;
+        }
+    }
+    return false;
+}
+
+std::vector<Mistake> checkText(std::string_view text, const Lines &lines)
 {
     if (text.size() > MaxFileBytes) {
         return {syntaxMistake(0, 0, fmt::format("a file of at most {} bytes", MaxFileBytes))};
@@ -171,6 +201,9 @@
         if (std::count(lines[i].begin(), lines[i].end(), '.') > MaxDotsPerLine) {
             mistakes.push_back(syntaxMistake(i + 1, 1, fmt::format("at most {} dots in a line", MaxDotsPerLine)));
         }
+        if (hasForeignByte(lines[i])) {
+            mistakes.push_back(syntaxMistake(i + 1, 1, "ASCII outside of strings and comments"));
+        }
     }
     return mistakes;
 }
@@ -180,7 +213,7 @@
 Document readDocument(std::string_view text)
 {
     auto lines = split(text);
-    if (auto mistakes = checkSize(text, lines); !mistakes.empty()) {
+    if (auto mistakes = checkText(text, lines); !mistakes.empty()) {
         return {{}, std::move(mistakes)};
     }
     Document document;
--- a/tests/configuration/parser.cpp
+++ b/tests/configuration/parser.cpp
@@ -133,6 +133,17 @@
     }));
 }
 
+TEST_CASE("characters beyond ASCII are for strings and comments")
+{
+    CHECK(described(Head + "# Koroška\n[limits] # \"č\"\n") == "valid\n");
+    for (const std::string line : {"č = 1", "x = \"#\" č", "x = \"\"\"a\"\"\" č", "x = 1 č", "x = '\\' č"}) {
+        const auto mistakes = mistakesOf(Head + line);
+        REQUIRE(!mistakes.empty());
+        CHECK(mistakes.front().line == 4);
+        CHECK(mistakes.front().code == ErrorCode::ConfigSyntax);
+    }
+}
+
 TEST_CASE("the reading again behind syntax errors is bounded")
 {
     std::string text;
