--- a/src/configuration/syntax.cpp
+++ b/src/configuration/syntax.cpp
@@ -16,6 +16,8 @@
 constexpr auto MaxDotsPerLine = 128;
 /** Syntax errors reported in one run. */
 constexpr std::size_t MaxSyntaxMistakes = 20;
+/** Text that is read again to get behind syntax errors, so that a large file can't hold up its reader. */
+constexpr std::size_t MaxRepairBytes = std::size_t{8} << 20;
 /** Lines that are searched for what was left open. */
 constexpr std::size_t MaxLookBack = 100;
 
@@ -91,6 +93,31 @@
     }
 }
 
+/** The line, counted from 1, up to which @p lines must be read for an error without a place to show. */
+std::size_t locate(const Lines &lines)
+{
+    std::size_t clean = 0;
+    std::size_t broken = lines.size();
+    while (clean + 1 < broken) {
+        const auto middle = clean + (broken - clean) / 2;
+        const auto half = attempt(join({lines.begin(), lines.begin() + static_cast<std::ptrdiff_t>(middle)}));
+        const bool shows = half.mistake && half.mistake->line == 0;
+        (shows ? broken : clean) = middle;
+    }
+    return broken;
+}
+
+/** As attempt(), with a place for every error. */
+Attempt attemptLines(const Lines &lines)
+{
+    auto result = attempt(join(lines));
+    if (result.mistake && result.mistake->line == 0) {
+        result.mistake->line = static_cast<unsigned>(locate(lines));
+        result.mistake->column = 1;
+    }
+    return result;
+}
+
 /** Empties lines [@p first, @p last]; the damaged header of a table becomes one of a table that is passed over. */
 void repair(Lines &lines, std::size_t first, std::size_t last, std::size_t number)
 {
@@ -118,12 +145,12 @@
 {
     auto single = lines;
     repair(single, index, index, number);
-    auto best = attempt(join(single));
+    auto best = attemptLines(single);
     if (best.mistake && best.reached() <= index + 2) {
         if (const auto opener = findOpener(lines, index)) {
             auto several = lines;
             repair(several, *opener, index == *opener ? index : index - 1, number);
-            auto other = attempt(join(several));
+            auto other = attemptLines(several);
             if (other.reached() >= best.reached()) {
                 lines = std::move(several);
                 return other;
@@ -134,7 +161,37 @@
     return best;
 }
 
-std::vector<Mistake> checkSize(std::string_view text, const Lines &lines)
+/** Whether @p line has a byte beyond ASCII where toml++ would take it for a key or a space: that is undefined there. */
+bool hasForeignByte(std::string_view line)
+{
+    constexpr unsigned char LastAscii = 0x7f;
+    const auto foreign = [](char c) {
+        return static_cast<unsigned char>(c) > LastAscii;
+    };
+    if (std::none_of(line.begin(), line.end(), foreign)) {
+        return false;
+    }
+    if (line.find("\"\"\"") != std::string_view::npos || line.find("'''") != std::string_view::npos) {
+        return true;
+    }
+    char quote = 0;
+    for (std::size_t i = 0; i < line.size(); ++i) {
+        const char c = line[i];
+        if (quote == 0 && (c == '#' || foreign(c))) {
+            return c != '#';
+        }
+        if (quote == '"' && c == '\\') {
+            ++i;
+        } else if (quote == c) {
+            quote = 0;
+        } else if (quote == 0 && (c == '"' || c == '\'')) {
+            quote = c;
+        }
+    }
+    return false;
+}
+
+std::vector<Mistake> checkText(std::string_view text, const Lines &lines)
 {
     if (text.size() > MaxFileBytes) {
         return {syntaxMistake(0, 0, fmt::format("a file of at most {} bytes", MaxFileBytes))};
@@ -144,6 +201,9 @@
         if (std::count(lines[i].begin(), lines[i].end(), '.') > MaxDotsPerLine) {
             mistakes.push_back(syntaxMistake(i + 1, 1, fmt::format("at most {} dots in a line", MaxDotsPerLine)));
         }
+        if (hasForeignByte(lines[i])) {
+            mistakes.push_back(syntaxMistake(i + 1, 1, "ASCII outside of strings and comments"));
+        }
     }
     return mistakes;
 }
@@ -153,15 +213,17 @@
 Document readDocument(std::string_view text)
 {
     auto lines = split(text);
-    if (auto mistakes = checkSize(text, lines); !mistakes.empty()) {
+    if (auto mistakes = checkText(text, lines); !mistakes.empty()) {
         return {{}, std::move(mistakes)};
     }
     Document document;
-    auto latest = attempt(text);
+    auto latest = attemptLines(lines);
+    std::size_t readAgain = 0;
     while (latest.mistake) {
         const auto line = std::min<std::size_t>(latest.mistake->line, lines.size());
         document.mistakes.push_back(std::move(*latest.mistake));
-        if (line == 0 || document.mistakes.size() == MaxSyntaxMistakes) {
+        readAgain += 2 * text.size();
+        if (line == 0 || document.mistakes.size() == MaxSyntaxMistakes || readAgain > MaxRepairBytes) {
             return document;
         }
         latest = mend(lines, line - 1, document.mistakes.size());
