--- a/src/changes/change.h
+++ b/src/changes/change.h
@@ -18,6 +18,8 @@
 struct ApplyFile {
     core::ChangeId id;
     std::string text;
+    /** Whether the id is made from the text, so that no other file can come under it. */
+    bool namedByContent = false;
 
     bool operator==(const ApplyFile &) const = default;
 };
--- a/src/changes/ledger.cpp
+++ b/src/changes/ledger.cpp
@@ -1,7 +1,5 @@
 #include "changes/ledger.h"
 
-#include "configuration/parser.h"
-
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -32,6 +30,13 @@
     });
 }
 
+/** Whether no other change can be sent under the same id, so that a refusal needs no record. */
+bool namedByContent(const Change &change)
+{
+    const auto *file = std::get_if<ApplyFile>(&change);
+    return file != nullptr && file->namedByContent;
+}
+
 /** A refusal for @p mistakes, under the code of the first. */
 core::Error refusal(const std::vector<configuration::Mistake> &mistakes)
 {
@@ -45,6 +50,11 @@
 
 } // namespace
 
+Ledger::Ledger(configuration::FileParser parser)
+    : m_parser(std::move(parser))
+{
+}
+
 Answer Ledger::apply(const Change &change)
 {
     const auto &id = idOf(change);
@@ -61,7 +71,9 @@
             return applyNew(any);
         },
         change);
-    m_answers.add({id, digest, answer});
+    if (core::ok(answer) || !namedByContent(change)) {
+        m_answers.add({id, digest, answer});
+    }
     return answer;
 }
 
@@ -81,15 +93,15 @@
             m_answers.all()};
 }
 
-core::Result<Ledger> Ledger::restore(LedgerState state)
+core::Result<Ledger> Ledger::restore(LedgerState state, configuration::FileParser parser)
 {
-    const auto winners = std::min<std::uint64_t>(state.version, WinnersKept);
-    if (state.winners.size() != winners || state.revision < state.version) {
+    const bool hasFile = state.version > 0;
+    if (hasFile == state.winners.empty() || state.winners.size() > std::min<std::uint64_t>(state.revision, WinnersKept)) {
         return core::Error{ErrorCode::SnapshotDamaged, "the ledger's counts do not agree"};
     }
-    Ledger ledger;
-    if (state.version > 0) {
-        auto parsed = configuration::parse(state.text);
+    Ledger ledger(std::move(parser));
+    if (hasFile) {
+        auto parsed = ledger.m_parser(state.text);
         auto *file = std::get_if<configuration::Configuration>(&parsed);
         if (file == nullptr) {
             return core::Error{ErrorCode::SnapshotDamaged, "the file in force does not parse"};
@@ -110,7 +122,7 @@
 
 Answer Ledger::applyNew(const ApplyFile &change)
 {
-    auto parsed = configuration::parse(change.text);
+    auto parsed = m_parser(change.text);
     if (const auto *mistakes = std::get_if<std::vector<configuration::Mistake>>(&parsed)) {
         return refusal(*mistakes);
     }
@@ -118,17 +130,22 @@
     if (file.replaces != m_standing.version) {
         return conflict(file.replaces);
     }
+    const auto version = file.version.value_or(m_standing.version + 1);
+    if (version <= m_standing.version) {
+        return refusal(ErrorCode::ConfigOutOfBounds,
+                       fmt::format("version {} is not above {}, which is in force", version, m_standing.version));
+    }
     auto domains = carryOver(file);
     if (domains.size() > DomainsKept) {
         return refusal(ErrorCode::ConfigOutOfBounds,
                        fmt::format("at most {} failure domains over all files", DomainsKept));
     }
     ++m_standing.revision;
-    ++m_standing.version;
+    m_winners.push_back({m_standing.version, change.id});
+    m_standing.version = version;
     m_standing.text = change.text;
     m_standing.domains = std::move(domains);
     m_standing.configuration = std::make_shared<const configuration::Configuration>(std::move(file));
-    m_winners.push_back(change.id);
     if (m_winners.size() > WinnersKept) {
         m_winners.pop_front();
     }
@@ -164,14 +181,15 @@
         return refusal(ErrorCode::VersionConflict,
                        fmt::format("version {} is in force, not yet {}", version, replaces));
     }
-    const auto behind = version - replaces;
-    const auto winner = behind <= m_winners.size() ? m_winners[m_winners.size() - behind].str() : "(no longer known)";
+    const auto winner = std::find_if(m_winners.begin(), m_winners.end(), [replaces](const Winner &any) {
+        return any.replaced == replaces;
+    });
     return refusal(ErrorCode::VersionConflict,
                    fmt::format("version {} was replaced by change {}; version {} is in force, made by change {}",
                                replaces,
-                               winner,
+                               winner == m_winners.end() ? "(no longer known)" : winner->id.str(),
                                version,
-                               m_winners.back().str()));
+                               m_winners.back().id.str()));
 }
 
 std::map<core::FailureDomain, DomainStanding> Ledger::carryOver(const configuration::Configuration &file) const
--- a/src/changes/ledger.h
+++ b/src/changes/ledger.h
@@ -7,7 +7,7 @@
 
 #include "changes/answers.h"
 #include "changes/change.h"
-#include "configuration/model.h"
+#include "configuration/parser.h"
 
 #include <cstdint>
 #include <deque>
@@ -37,6 +37,14 @@
     std::map<core::FailureDomain, DomainStanding> domains;
 };
 
+/** Which change replaced a version. */
+struct Winner {
+    std::uint64_t replaced = 0;
+    core::ChangeId id;
+
+    bool operator==(const Winner &) const = default;
+};
+
 /** A ledger's whole state, for a snapshot. */
 struct LedgerState {
     std::uint64_t revision = 0;
@@ -46,7 +54,7 @@
     /** The change that last moved each failure domain. */
     std::map<core::FailureDomain, core::ChangeId> movers;
     /** The changes that made the latest versions; the last made the version in force. */
-    std::vector<core::ChangeId> winners;
+    std::vector<Winner> winners;
     std::vector<Answered> answers;
 
     bool operator==(const LedgerState &) const = default;
@@ -66,6 +74,9 @@
 class Ledger
 {
 public:
+    /** @p parser reads the operators' files. */
+    explicit Ledger(configuration::FileParser parser = configuration::parse);
+
     Answer apply(const Change &change);
 
     const Standing &standing() const;
@@ -73,7 +84,7 @@
     LedgerState snapshot() const;
 
     /** The ledger whose snapshot @p state was, or SnapshotDamaged where no ledger has such a state. */
-    static core::Result<Ledger> restore(LedgerState state);
+    static core::Result<Ledger> restore(LedgerState state, configuration::FileParser parser = configuration::parse);
 
 private:
     Answer applyNew(const ApplyFile &change);
@@ -83,9 +94,10 @@
     std::map<core::FailureDomain, DomainStanding> carryOver(const configuration::Configuration &file) const;
     bool isConfigured(const core::FailureDomain &domain) const;
 
+    configuration::FileParser m_parser;
     Standing m_standing;
     std::map<core::FailureDomain, core::ChangeId> m_movers;
-    std::deque<core::ChangeId> m_winners;
+    std::deque<Winner> m_winners;
     Answers m_answers;
 };
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -9,7 +9,7 @@
 namespace pimentoshed::cli
 {
 
-int run(int argc, const char *const *argv)
+int run(int argc, const char *const *argv, const CommandAdder &more)
 {
     CLI::App app("pimentoshed: a load balancer for servers whose load shifts in milliseconds");
     app.require_subcommand(1);
@@ -18,6 +18,9 @@
     addControl(app, exitCode);
     addEntry(app, exitCode);
     addOperatorCommands(app, exitCode);
+    if (more) {
+        more(app, exitCode);
+    }
     try {
         app.parse(argc, argv);
     } catch (const CLI::Success &success) {
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -4,6 +4,13 @@
  */
 #pragma once
 
+#include <functional>
+
+namespace CLI
+{
+class App;
+}
+
 namespace pimentoshed::cli
 {
 
@@ -17,7 +24,10 @@
     Unreachable = 5,
 };
 
-/** Runs the command that the arguments name; returns the exit code. */
-int run(int argc, const char *const *argv);
+/** Adds subcommands that set the exit code. */
+using CommandAdder = std::function<void(CLI::App &, ExitCode &)>;
+
+/** Runs the command that the arguments name, also of those that @p more adds; returns the exit code. */
+int run(int argc, const char *const *argv, const CommandAdder &more = nullptr);
 
 } // namespace pimentoshed::cli
--- a/src/cli/roles.cpp
+++ b/src/cli/roles.cpp
@@ -1,9 +1,7 @@
 #include "cli/roles.h"
 
-#include "control/controlhost.h"
 #include "control/replicator.h"
 #include "core/log.h"
-#include "entry/entryhost.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
@@ -47,34 +45,6 @@
     return ExitCode::StartFailed;
 }
 
-ExitCode runControl(const control::ControlSettings &settings)
-{
-    blockStopSignals();
-    core::setLogHost(settings.id.str());
-    const auto host = control::ControlHost::start(settings);
-    if (!core::ok(host)) {
-        return failedStart(core::error(host));
-    }
-    waitForStop();
-    core::value(host)->stop();
-    core::log(core::LogLevel::Info, "stopped");
-    return ExitCode::Success;
-}
-
-ExitCode runEntry(const entry::EntrySettings &settings)
-{
-    blockStopSignals();
-    core::setLogHost(settings.id.str());
-    const auto host = entry::EntryHost::start(settings);
-    if (!core::ok(host)) {
-        return failedStart(core::error(host));
-    }
-    waitForStop();
-    const auto left = core::value(host)->stop();
-    core::log(left == 0 ? core::LogLevel::Info : core::LogLevel::Error, "stopped", {{"requests_cut", left}});
-    return left == 0 ? ExitCode::Success : ExitCode::StoppedWithWork;
-}
-
 /** "c1=127.0.0.1:7002" as a host and its address. Error: SettingInvalid. */
 core::Result<control::PeerAddresses> parsePeers(const std::vector<std::string> &words)
 {
@@ -138,6 +108,34 @@
 
 } // namespace
 
+ExitCode runControl(const control::ControlSettings &settings)
+{
+    blockStopSignals();
+    core::setLogHost(settings.id.str());
+    const auto host = control::ControlHost::start(settings);
+    if (!core::ok(host)) {
+        return failedStart(core::error(host));
+    }
+    waitForStop();
+    core::value(host)->stop();
+    core::log(core::LogLevel::Info, "stopped");
+    return ExitCode::Success;
+}
+
+ExitCode runEntry(const entry::EntrySettings &settings)
+{
+    blockStopSignals();
+    core::setLogHost(settings.id.str());
+    const auto host = entry::EntryHost::start(settings);
+    if (!core::ok(host)) {
+        return failedStart(core::error(host));
+    }
+    waitForStop();
+    const auto left = core::value(host)->stop();
+    core::log(left == 0 ? core::LogLevel::Info : core::LogLevel::Error, "stopped", {{"requests_cut", left}});
+    return left == 0 ? ExitCode::Success : ExitCode::StoppedWithWork;
+}
+
 void addInit(CLI::App &app, ExitCode &exitCode)
 {
     auto *command = app.add_subcommand("init", "Makes the data folder of a control host of a new system, once");
--- a/src/cli/roles.h
+++ b/src/cli/roles.h
@@ -5,15 +5,16 @@
 #pragma once
 
 #include "cli/commands.h"
-
-namespace CLI
-{
-class App;
-}
+#include "control/controlhost.h"
+#include "entry/entryhost.h"
 
 namespace pimentoshed::cli
 {
 
+/** Runs a host until it is told to stop. */
+ExitCode runControl(const control::ControlSettings &settings);
+ExitCode runEntry(const entry::EntrySettings &settings);
+
 void addInit(CLI::App &app, ExitCode &exitCode);
 void addControl(CLI::App &app, ExitCode &exitCode);
 void addEntry(CLI::App &app, ExitCode &exitCode);
--- a/src/configuration/model.cpp
+++ b/src/configuration/model.cpp
@@ -5,18 +5,29 @@
 namespace pimentoshed::configuration
 {
 
-const Service *serviceForPath(const Configuration &configuration, std::string_view path)
+const Route *findRoute(const Configuration &configuration, std::string_view hostName, std::string_view path)
 {
-    const Service *best = nullptr;
-    for (const auto &service : configuration.services) {
-        const bool longer = best == nullptr || service.pathPrefix.size() > best->pathPrefix.size();
-        if (longer && path.starts_with(service.pathPrefix)) {
-            best = &service;
+    const Route *best = nullptr;
+    for (const auto &route : configuration.routes) {
+        const bool longer = best == nullptr || route.pathPrefix.size() > best->pathPrefix.size();
+        if (longer && (route.hostName.empty() || route.hostName == hostName) && path.starts_with(route.pathPrefix)) {
+            best = &route;
         }
     }
     return best;
 }
 
+Route routeOf(const Service &service)
+{
+    Route route;
+    route.name = core::RouteName(service.name.str());
+    route.pathPrefix = service.pathPrefix;
+    route.shares.push_back({service.name, 1});
+    route.deadline = service.deadline;
+    route.importance = service.importance;
+    return route;
+}
+
 const Service *findService(const Configuration &configuration, const core::ServiceName &name)
 {
     const auto found =
@@ -26,9 +37,17 @@
     return found == configuration.services.end() ? nullptr : &*found;
 }
 
-bool isIdempotent(const Service &service, std::string_view method)
+bool isIdempotent(const Route &route, const Service &service, std::string_view method)
 {
     const auto &methods = service.idempotentMethods;
+    switch (route.repeat) {
+    case Repeat::Always:
+        return true;
+    case Repeat::Never:
+        return false;
+    case Repeat::ByMethod:
+        break;
+    }
     return std::find(methods.begin(), methods.end(), method) != methods.end();
 }
 
--- a/src/configuration/model.h
+++ b/src/configuration/model.h
@@ -4,10 +4,13 @@
  */
 #pragma once
 
+#include "core/enumtable.h"
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,10 +58,72 @@
     double probesPerSecond = 0;
     /** Retries and hedges together, as a share of first tries. */
     double retryRatio = 0;
+    /** Where targets tell their health and load; empty where they don't. */
+    std::string healthPath;
+    /** Requests a second that a cold target takes from the whole system; 0 where only coldSlots bound it. */
+    double coldPerSecond = 0;
 
     bool operator==(const Service &) const = default;
 };
 
+/** Which requests of a route may run more than once. */
+enum class Repeat : std::uint8_t {
+    /** Those whose method is among the idempotent ones of their service. */
+    ByMethod,
+    Always,
+    Never,
+};
+
+inline constexpr std::array RepeatNames{
+    core::EnumName<Repeat>{Repeat::ByMethod, "by-method"},
+    core::EnumName<Repeat>{Repeat::Always, "always"},
+    core::EnumName<Repeat>{Repeat::Never, "never"},
+};
+
+/** A service's part of a route. */
+struct RouteShare {
+    core::ServiceName service;
+    /** Relative to the other shares of the route; 0 gets nothing. */
+    double weight = 1;
+
+    bool operator==(const RouteShare &) const = default;
+};
+
+/** Requests with the same host name and path prefix, where they go, and on what terms. */
+struct Route {
+    core::RouteName name;
+    /** The host that a request names; empty where any will do. */
+    std::string hostName;
+    /** Begins and ends with '/'. */
+    std::string pathPrefix;
+    /** At least one. */
+    std::vector<RouteShare> shares;
+    Repeat repeat = Repeat::ByMethod;
+    /** Targets that one request may be sent to. */
+    unsigned attempts = 3;
+    /** Time a request has where its caller names none, and the most that a caller may name. */
+    core::Duration deadline{};
+    /** Within this, an answer is worth most to its caller; zero where nothing is said. */
+    core::Duration objective{};
+    /** Higher is shed later, 0 to 9. */
+    unsigned importance = 0;
+
+    bool operator==(const Route &) const = default;
+};
+
+/** What an entry host does once it can't know its configuration to be current. */
+enum class WhenStale : std::uint8_t {
+    /** Refuses requests as not run. */
+    Refuse,
+    /** Serves on what it last knew, but for cold targets. */
+    Serve,
+};
+
+inline constexpr std::array WhenStaleNames{
+    core::EnumName<WhenStale>{WhenStale::Refuse, "refuse"},
+    core::EnumName<WhenStale>{WhenStale::Serve, "serve"},
+};
+
 /** A member of the control hosts. */
 struct ControlHost {
     core::HostId id;
@@ -82,6 +147,7 @@
     core::Duration requestKeyRetention = std::chrono::hours(24);
     /** Request keys remembered at once, shared between institutions by weight. */
     std::uint64_t requestKeyCapacity = 200000;
+    WhenStale whenStale = WhenStale::Refuse;
 
     bool operator==(const Limits &) const = default;
 };
@@ -90,22 +156,29 @@
 struct Configuration {
     /** The version this file replaces; the file itself becomes the next one. */
     std::uint64_t replaces = 0;
+    /** The version that the file gives itself; without one it takes the next number. */
+    std::optional<std::uint64_t> version;
     std::vector<Institution> institutions;
     std::vector<core::FailureDomain> failureDomains;
     std::vector<Service> services;
+    /** Every service with a path prefix has a route of its own name here. */
+    std::vector<Route> routes;
     std::vector<ControlHost> controlHosts;
     Limits limits;
 
     bool operator==(const Configuration &) const = default;
 };
 
-/** The service with the longest path prefix that @p path starts with, or nullptr. */
-const Service *serviceForPath(const Configuration &configuration, std::string_view path);
+/** The route of @p hostName with the longest path prefix that @p path starts with, or nullptr. */
+const Route *findRoute(const Configuration &configuration, std::string_view hostName, std::string_view path);
+
+/** The route that the path prefix of @p service stands for. */
+Route routeOf(const Service &service);
 
 /** The service called @p name, or nullptr. */
 const Service *findService(const Configuration &configuration, const core::ServiceName &name);
 
-/** Whether requests with @p method may run more than once at @p service. */
-bool isIdempotent(const Service &service, std::string_view method);
+/** Whether requests of @p route with @p method may run more than once at @p service. */
+bool isIdempotent(const Route &route, const Service &service, std::string_view method);
 
 } // namespace pimentoshed::configuration
--- a/src/configuration/parser.cpp
+++ b/src/configuration/parser.cpp
@@ -56,6 +56,9 @@
     if (!mistakes.empty()) {
         return sorted(std::move(mistakes));
     }
+    for (const auto &service : configuration.services) {
+        configuration.routes.push_back(routeOf(service));
+    }
     return configuration;
 }
 
--- a/src/configuration/parser.h
+++ b/src/configuration/parser.h
@@ -7,6 +7,7 @@
 #include "configuration/model.h"
 #include "core/error.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -30,6 +31,9 @@
 
 using ParseResult = std::variant<Configuration, std::vector<Mistake>>;
 
+/** Reads one kind of file. Must be the same on every host, and always read the same text alike. */
+using FileParser = std::function<ParseResult(std::string_view)>;
+
 /** The configuration that @p text describes, or every mistake in it. */
 ParseResult parse(std::string_view text);
 
--- a/src/consensus/engine.cpp
+++ b/src/consensus/engine.cpp
@@ -121,7 +121,7 @@
     inspection.members = m_log.members();
     if (m_role == Role::Leader) {
         for (const auto &[member, peer] : m_progress.peers()) {
-            inspection.progress.push_back({member, peer.match});
+            inspection.progress.push_back({member, peer.match, peer.contact});
         }
     }
     inspection.pendingReads = m_reads.size();
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -52,6 +52,8 @@
 struct MemberProgress {
     MemberId member;
     LogIndex match;
+    /** When the newest acknowledged round began. */
+    core::TimePoint contact{};
 };
 
 /** What a state dump shows. */
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -6,19 +6,24 @@
 #include "control/peerfeed.h"
 #include "control/replicatedstate.h"
 #include "control/replicator.h"
+#include "control/targetdesk.h"
 #include "core/log.h"
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "http/server.h"
+#include "membership/seating.h"
 #include "rpc/codec.h"
 #include "rpc/commandcodec.h"
 #include "rpc/replicationcodec.h"
 #include "telemetry/exposition.h"
 #include "telemetry/revisionclock.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <filesystem>
 #include <random>
+#include <utility>
 
 namespace pimentoshed::control
 {
@@ -27,7 +32,19 @@
 {
 
 constexpr auto ServePeriod = std::chrono::milliseconds(50);
+/** An entry host asks at least each second. */
 constexpr auto SilentPeriod = std::chrono::seconds(3);
+/** Between the questions whether this host is still current, which a quorum answers. */
+constexpr auto ConfirmPeriod = std::chrono::milliseconds(300);
+/** Between the questions of a host that is no member. */
+constexpr auto JoinPeriod = std::chrono::milliseconds(300);
+constexpr auto JoinTimeout = std::chrono::milliseconds(800);
+
+bool isEmpty(const std::string &folder)
+{
+    std::error_code failure;
+    return !std::filesystem::exists(folder, failure) || std::filesystem::is_empty(folder, failure);
+}
 
 std::uint64_t makeSeed()
 {
@@ -42,14 +59,29 @@
 public:
     explicit Impl(const ControlSettings &settings)
         : m_settings(settings)
-        , m_peers(settings.peers)
+        , m_state(settings.parser,
+                  [this](const targets::Target &target) {
+                      m_targets.learn(target);
+                  })
+        , m_targets({m_hub,
+                     settings.id,
+                     [this](const targets::Target &target) {
+                         return m_state.asWithdrawn(target);
+                     },
+                     [this]() {
+                         serveSoon();
+                     }})
+        , m_peers(settings.peers, settings.addressOf)
         , m_pool(settings.workers)
         , m_timers(m_pool.context())
         , m_desk({[this]() {
                       return m_state.standing();
                   },
                   m_hub,
-                  makeSeed()})
+                  makeSeed(),
+                  [this]() {
+                      return controlHosts();
+                  }})
     {
     }
 
@@ -58,6 +90,10 @@
         m_metrics.beforeExposition([this](telemetry::Registry &metrics) {
             measure(metrics);
         });
+        const auto founded = found();
+        if (!core::ok(founded)) {
+            return founded;
+        }
         auto replicator =
             Replicator::open(m_settings.dataFolder, m_settings.id, replicatorHooks(), core::seededRandom(makeSeed()));
         if (!core::ok(replicator)) {
@@ -69,11 +105,11 @@
         if (!core::ok(listening)) {
             return listening;
         }
-        startFeeds();
+        serveFeeds();
         m_serveTimer = m_timers.every(ServePeriod, [this]() {
             serve();
         });
-        core::log(core::LogLevel::Info, "control-started", {{"operators", m_http->address()}});
+        core::log(core::LogLevel::Info, "control-started", {{"operators", m_http.front()->address()}});
         return std::monostate{};
     }
 
@@ -83,15 +119,13 @@
             return;
         }
         m_serveTimer.cancel();
-        for (const auto &feed : m_feeds) {
-            feed->stop();
-        }
+        stopFeeds();
         m_desk.close();
         if (m_rpc) {
             m_rpc->stop();
         }
-        if (m_http) {
-            m_http->drain();
+        for (const auto &server : m_http) {
+            server->drain();
         }
         if (m_replicator) {
             m_replicator->stop();
@@ -100,12 +134,32 @@
     }
 
 private:
+    /** Makes the data folder of a first member, once. */
+    core::Status found() const
+    {
+        const bool first = std::find(m_settings.founders.begin(), m_settings.founders.end(), m_settings.id)
+                           != m_settings.founders.end();
+        if (!first || !isEmpty(m_settings.dataFolder)) {
+            return std::monostate{};
+        }
+        return Replicator::create(m_settings.dataFolder, m_settings.id, m_settings.founders);
+    }
+
     ReplicatorHooks replicatorHooks()
     {
         ReplicatorHooks hooks;
         hooks.apply = [this](const std::string &payload) {
             return m_state.apply(payload);
         };
+        hooks.restore = [this](const std::string &bytes) {
+            const auto restored = m_state.restore(bytes);
+            if (!core::ok(restored)) {
+                core::log(core::LogLevel::Error, "snapshot-refused", {{"error", describe(core::error(restored))}});
+            }
+        };
+        hooks.snapshot = [this]() {
+            return m_state.snapshot();
+        };
         hooks.send = [this](const consensus::Message &message) {
             m_peers.send(message);
         };
@@ -125,70 +179,180 @@
             return core::error(server);
         }
         m_rpc = std::move(core::value(server));
-        auto http = http::Server::Builder(m_pool.context())
-                        .address(m_settings.operatorListen)
-                        .handler(telemetry::withMetrics(m_metrics, operatorHandler(m_settings.id, operatorHooks())))
-                        .start();
-        if (!core::ok(http)) {
-            return core::error(http);
-        }
-        m_http = core::value(http);
+        const auto handler = telemetry::withMetrics(m_metrics, m_settings.makeHandler(services()));
+        for (const auto &address : {m_settings.operatorListen, m_settings.callerListen}) {
+            if (address.empty()) {
+                continue;
+            }
+            auto http = http::Server::Builder(m_pool.context()).address(address).handler(handler).start();
+            if (!core::ok(http)) {
+                return core::error(http);
+            }
+            m_http.push_back(core::value(http));
+        }
         return std::monostate{};
     }
 
-    void startFeeds()
+    /** Follows the control hosts that take part now, and no others. */
+    void serveFeeds()
     {
-        for (const auto &[host, address] : m_settings.peers) {
-            if (host == m_settings.id) {
-                continue;
+        const auto members = m_replicator->inspect().members;
+        if (m_followed == members.voters && !m_feeds.empty()) {
+            return;
+        }
+        m_followed = members.voters;
+        std::map<core::HostId, std::shared_ptr<PeerFeed>> feeds;
+        for (const auto &host : otherHosts()) {
+            const auto found = m_feeds.find(host);
+            feeds.emplace(host, found == m_feeds.end() ? startFeed(host) : found->second);
+        }
+        for (const auto &[host, feed] : m_feeds) {
+            if (feeds.count(host) == 0) {
+                feed->stop();
+                m_hub.forgetSource(host);
             }
-            m_feeds.push_back(std::make_shared<PeerFeed>(PeerFeed::Parts{m_pool,
-                                                                         m_timers,
-                                                                         m_hub,
-                                                                         [this]() {
-                                                                             m_desk.serve(m_timers.now());
-                                                                         }},
-                                                         host,
-                                                         address));
-            m_feeds.back()->start();
         }
+        m_feeds = std::move(feeds);
+        m_hub.touchHosts();
     }
 
-    OperatorHooks operatorHooks()
+    /** The other members, and until there are any the hosts that the settings name. */
+    std::vector<core::HostId> otherHosts()
     {
-        OperatorHooks hooks;
-        hooks.change = [this](const changes::Change &change, std::function<void(changes::Answer)> done) {
-            m_leaderDesk->submit(rpc::encodeCommand(change),
-                                 [done = std::move(done)](const core::Result<std::string> &answer) {
-                                     done(core::ok(answer) ? rpc::decodeAnswer(core::value(answer))
-                                                           : changes::Answer(core::error(answer)));
-                                 });
+        std::vector<core::HostId> hosts;
+        for (const auto &member : m_followed) {
+            hosts.push_back(member.host);
+        }
+        if (hosts.empty()) {
+            hosts = m_peers.known();
+        }
+        std::erase(hosts, m_settings.id);
+        return hosts;
+    }
+
+    std::shared_ptr<PeerFeed> startFeed(const core::HostId &host)
+    {
+        PeerFeed::Parts parts{m_pool,
+                              m_timers,
+                              m_hub,
+                              {m_settings.id, m_settings.rpcListen, m_settings.domain},
+                              [this](const targets::Target &target) {
+                                  return m_targets.learn(target);
+                              },
+                              [this]() {
+                                  serveSoon();
+                              },
+                              [this](const core::HostId &silent) {
+                                  m_targets.adoptLeases(silent, m_timers.now() + targetLease());
+                              }};
+        auto feed = std::make_shared<PeerFeed>(std::move(parts), host, m_peers.addressOf(host));
+        feed->start();
+        return feed;
+    }
+
+    void stopFeeds()
+    {
+        for (const auto &[host, feed] : m_feeds) {
+            feed->stop();
+        }
+    }
+
+    /** The members, with what is known of where they are. */
+    std::vector<membership::ControlHost> controlHosts() const
+    {
+        std::vector<membership::ControlHost> hosts;
+        const auto members = m_replicator->inspect().members;
+        const core::Lock lock(m_mutex);
+        for (const auto &member : members.voters) {
+            const auto domain = m_domains.find(member.host);
+            hosts.push_back({member.host,
+                             member.host == m_settings.id ? m_settings.rpcListen : m_peers.addressOf(member.host),
+                             domain == m_domains.end() ? core::FailureDomain() : domain->second});
+        }
+        return hosts;
+    }
+
+    /** Notes where another control host is, as it says itself. */
+    void hearPeer(const core::HostId &host, const core::FailureDomain &domain)
+    {
+        if (host.empty() || domain.empty()) {
+            return;
+        }
+        {
+            const core::Lock lock(m_mutex);
+            if (std::exchange(m_domains[host], domain) == domain) {
+                return;
+            }
+        }
+        m_hub.touchHosts();
+        serveSoon();
+    }
+
+    core::Duration targetLease() const
+    {
+        const auto standing = m_state.standing();
+        return standing->configuration ? standing->configuration->limits.targetLease
+                                       : configuration::Limits{}.targetLease;
+    }
+
+    ControlServices services()
+    {
+        ControlServices services;
+        services.id = m_settings.id;
+        services.domain = m_settings.domain;
+        services.change = [this](const changes::Change &change, std::function<void(changes::Answer)> done) {
+            submit(change, std::move(done));
+        };
+        services.withdraw = [this](const targets::Target &target, std::function<void(changes::Answer)> done) {
+            submit(target, std::move(done));
         };
-        hooks.standing = [this]() {
+        services.standing = [this]() {
             return m_state.standing();
         };
-        hooks.log = [this]() {
+        services.confirm = [this](std::function<void(bool)> hook) {
+            m_leaderDesk->confirm(std::move(hook));
+        };
+        services.announce = [this](const targets::Target &target) {
+            return m_targets.announce(target, m_timers.now() + targetLease());
+        };
+        services.findTarget = [this](const core::TargetId &id) {
+            return m_targets.find(id);
+        };
+        services.log = [this]() {
             return m_replicator->inspect();
         };
-        hooks.hosts = [this]() {
+        services.hosts = [this]() {
             return m_hub.hosts();
         };
-        hooks.targetCount = [this]() {
+        services.targetCount = [this]() {
             return m_hub.targetCount();
         };
-        return hooks;
+        services.controlHosts = [this]() {
+            return controlHosts();
+        };
+        return services;
+    }
+
+    void submit(const rpc::Command &command, std::function<void(changes::Answer)> done)
+    {
+        m_leaderDesk->submit(
+            rpc::encodeCommand(command),
+            [done = std::move(done)](const core::Result<std::string> &answer) {
+                done(core::ok(answer) ? rpc::decodeAnswer(core::value(answer)) : changes::Answer(core::error(answer)));
+            });
     }
 
     rpc::ControlHooks rpcHooks()
     {
         rpc::ControlHooks hooks;
         hooks.follow = [this](const rpc::FollowRequest &request, const rpc::Respond<rpc::FollowReply> &respond) {
-            if (!request.peer()) {
+            if (request.peer()) {
+                hearPeer(core::HostId(request.host().id()), core::FailureDomain(request.host().domain()));
+            } else {
                 m_hub.hear(rpc::decode(request.host()), m_timers.now());
             }
             count(telemetry::ControlMessage::FollowRequest, telemetry::Direction::In, request);
             m_desk.take(request, countedReply(respond), m_timers.now());
-            confirm();
         };
         hooks.report = [this](const rpc::ReportRequest &request, const rpc::Respond<rpc::ReportReply> &respond) {
             count(telemetry::ControlMessage::ReportRequest, telemetry::Direction::In, request);
@@ -211,6 +375,12 @@
         hooks.submit = [this](const rpc::SubmitRequest &request, const rpc::Respond<rpc::SubmitReply> &respond) {
             submitFor(request, respond);
         };
+        hooks.join = [this](const rpc::JoinRequest &request) {
+            seat(rpc::decode(request.member()));
+            rpc::JoinReply reply;
+            rpc::encode(m_replicator->inspect().members, *reply.mutable_members());
+            return reply;
+        };
         return hooks;
     }
 
@@ -252,24 +422,99 @@
         });
     }
 
+    /** Gives @p newcomer a seat, where this host leads and one can be had. */
+    void seat(const consensus::MemberId &newcomer)
+    {
+        const auto log = m_replicator->inspect();
+        if (log.role != consensus::Role::Leader || log.members.joining == newcomer) {
+            return;
+        }
+        auto change = membership::seatFor(newcomer, seats(log), m_settings.seats);
+        if (!change) {
+            return;
+        }
+        if (!log.members.settled()) {
+            if (!log.members.joining || silence(log, *log.members.joining) < membership::SeatSilence) {
+                return;
+            }
+            change->abandonRunning = true;
+        }
+        const auto started = m_replicator->changeMembers(*change);
+        core::log(core::LogLevel::Info,
+                  "member-joins",
+                  {{"member", newcomer.host.str()},
+                   {"disk", newcomer.disk.str()},
+                   {"instead_of", change->leaving ? change->leaving->host.str() : ""},
+                   {"outcome", core::ok(started) ? "started" : describe(core::error(started))}});
+    }
+
+    std::vector<membership::Seat> seats(const consensus::Inspection &log) const
+    {
+        std::vector<membership::Seat> seats;
+        for (const auto &voter : log.members.voters) {
+            seats.push_back({voter, silence(log, voter)});
+        }
+        return seats;
+    }
+
+    /** How long the leader, whose @p log this is, has not heard @p member. */
+    core::Duration silence(const consensus::Inspection &log, const consensus::MemberId &member) const
+    {
+        const auto found = std::find_if(log.progress.begin(), log.progress.end(), [&member](const auto &progress) {
+            return progress.member == member;
+        });
+        return found == log.progress.end() ? core::Duration{} : m_timers.now() - found->contact;
+    }
+
+    /** Asks for a seat while this host has none, or hears no leader and so may have lost its own. */
+    void serveJoining(core::TimePoint now)
+    {
+        const auto log = m_replicator->inspect();
+        const bool takesPart = log.members.isVoter(log.self) && log.leader;
+        if (takesPart || m_settings.seats == 0) {
+            m_joinAt = now + JoinPeriod;
+            return;
+        }
+        if (now < m_joinAt) {
+            return;
+        }
+        m_joinAt = now + JoinPeriod;
+        rpc::JoinRequest request;
+        rpc::encode(log.self, *request.mutable_member());
+        auto hosts = m_peers.known();
+        std::erase(hosts, m_settings.id);
+        for (const auto &host : hosts) {
+            if (const auto client = m_peers.find(host)) {
+                client->join(request, JoinTimeout, [this](const core::Result<rpc::JoinReply> &reply) {
+                    learnMembers(reply);
+                });
+            }
+        }
+    }
+
+    /** Notes where the members are, to ask them next time. */
+    void learnMembers(const core::Result<rpc::JoinReply> &reply)
+    {
+        if (!core::ok(reply)) {
+            return;
+        }
+        for (const auto &member : rpc::decode(core::value(reply).members()).voters) {
+            m_peers.find(member.host);
+        }
+    }
+
     /** Confirms the calls that have come in; one round at a time, so that a round serves all of them. */
-    void confirm()
+    void serveConfirming(core::TimePoint now)
     {
-        if (m_confirming.exchange(true)) {
-            m_confirmAgain = true;
+        if (now < m_confirmAt || m_confirming.exchange(true)) {
             return;
         }
-        m_confirmAgain = false;
+        m_confirmAt = now + ConfirmPeriod;
         m_leaderDesk->confirm([this, asks = m_desk.asks()](bool current) {
             if (current) {
                 m_desk.confirm(asks);
             }
             m_confirming = false;
-            if (m_confirmAgain && current && !m_stopped) {
-                m_pool.post([this]() {
-                    confirm();
-                });
-            }
         });
     }
 
@@ -306,11 +551,16 @@
         for (const auto &message : request.changes()) {
             const auto target = rpc::decode(message);
             if (core::ok(target)) {
-                m_hub.learn(core::value(target));
+                m_targets.learn(core::value(target));
             } else {
                 core::log(core::LogLevel::Warning, "report-malformed", {{"error", describe(core::error(target))}});
             }
         }
+        serveSoon();
+    }
+
+    void serveSoon()
+    {
         m_pool.post([this]() {
             m_desk.serve(m_timers.now());
         });
@@ -318,29 +568,40 @@
 
     void serve()
     {
+        const auto now = m_timers.now();
         m_replicator->tick();
         m_leaderDesk->serve();
-        m_revisionClock.note(m_state.standing()->revision, m_timers.now());
-        m_hub.forgetSilent(m_timers.now() - SilentPeriod);
-        m_desk.serve(m_timers.now());
+        m_revisionClock.note(m_state.standing()->revision, now);
+        m_hub.forgetSilent(now - SilentPeriod);
+        m_targets.expire(now);
+        serveFeeds();
+        serveJoining(now);
+        serveConfirming(now);
+        m_desk.serve(now);
     }
 
     const ControlSettings m_settings;
     ReplicatedState m_state;
+    TargetDesk m_targets;
     telemetry::Registry m_metrics;
     telemetry::RevisionClock m_revisionClock;
     membership::Hub m_hub;
     Peers m_peers;
     std::atomic<bool> m_stopped{false};
     std::atomic<bool> m_confirming{false};
-    std::atomic<bool> m_confirmAgain{false};
+    /** Of the serve timer alone. */
+    core::TimePoint m_confirmAt{};
+    core::TimePoint m_joinAt{};
+    std::vector<consensus::MemberId> m_followed;
+    mutable core::RankedMutex m_mutex{core::LockRank::Connections};
+    std::map<core::HostId, core::FailureDomain> m_domains;
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     FollowDesk m_desk;
     std::unique_ptr<Replicator> m_replicator;
     std::unique_ptr<LeaderDesk> m_leaderDesk;
-    std::vector<std::shared_ptr<PeerFeed>> m_feeds;
-    std::shared_ptr<http::Server> m_http;
+    std::map<core::HostId, std::shared_ptr<PeerFeed>> m_feeds;
+    std::vector<std::shared_ptr<http::Server>> m_http;
     std::unique_ptr<rpc::ControlServer> m_rpc;
     core::TimerSubscription m_serveTimer;
 };
--- a/src/control/controlhost.h
+++ b/src/control/controlhost.h
@@ -4,13 +4,17 @@
  */
 #pragma once
 
+#include "configuration/parser.h"
+#include "control/operatorfront.h"
 #include "control/peers.h"
 #include "core/error.h"
 #include "core/ids.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pimentoshed::control
 {
@@ -24,6 +28,18 @@
     /** Where every control host takes the calls of other hosts, this one included. */
     PeerAddresses peers;
     std::size_t workers = 2;
+    core::FailureDomain domain;
+    /** A second address that is served like operatorListen; empty where there is none. */
+    std::string callerListen;
+    /** The first members, where a new system starts; used with an empty data folder only. */
+    std::vector<core::HostId> founders;
+    /** Members that the system wants: newcomers get seats up to here, and those of silent members. 0: none do. */
+    std::size_t seats = 0;
+    /** Where a member takes the calls of other hosts that is not among the peers. */
+    std::function<std::string(const core::HostId &)> addressOf;
+    /** Reads the operators' files. */
+    configuration::FileParser parser = configuration::parse;
+    HandlerMaker makeHandler = operatorHandler;
 };
 
 /** A running control host. */
--- a/src/control/followdesk.cpp
+++ b/src/control/followdesk.cpp
@@ -127,7 +127,7 @@
     const auto standing = m_sources.standing();
     reply.set_revision(standing->revision);
     if (standing->revision > request.revision()) {
-        rpc::encode(*standing, *reply.mutable_standing());
+        rpc::encode(*standing, request.version(), *reply.mutable_standing());
     }
     const auto news = m_sources.hub.newsSince(positionOf(request), audienceOf(request));
     reply.set_feed_id(m_sources.feedId);
@@ -139,6 +139,11 @@
     for (const auto &host : news.hosts) {
         rpc::encode(host, *reply.add_hosts());
     }
+    if (news.hostsChanged && !request.peer()) {
+        for (const auto &host : m_sources.controlHosts()) {
+            rpc::encode(host, *reply.add_control_hosts());
+        }
+    }
     return reply;
 }
 
--- a/src/control/followdesk.h
+++ b/src/control/followdesk.h
@@ -29,6 +29,8 @@
         std::function<std::shared_ptr<const changes::Standing>()> standing;
         const membership::Hub &hub;
         std::uint64_t feedId = 0;
+        /** The control hosts that may be followed. */
+        std::function<std::vector<membership::ControlHost>()> controlHosts;
     };
 
     explicit FollowDesk(Sources sources);
--- a/src/control/operatorfront.cpp
+++ b/src/control/operatorfront.cpp
@@ -75,9 +75,8 @@
 class Front
 {
 public:
-    Front(core::HostId id, OperatorHooks hooks)
-        : m_id(std::move(id))
-        , m_hooks(std::move(hooks))
+    explicit Front(ControlServices services)
+        : m_services(std::move(services))
     {
     }
 
@@ -129,7 +128,7 @@
     {
         const auto answer =
             http::await<changes::Answer>(exchange, [this, &change](std::function<void(changes::Answer)> done) {
-                m_hooks.change(change, std::move(done));
+                m_services.change(change, std::move(done));
             });
         return answerReply(answer);
     }
@@ -146,22 +145,21 @@
     {
         return http::jsonReply(status::ok,
                                {{"role", "control"},
-                                {"id", m_id.str()},
-                                {"standing", describeStanding(*m_hooks.standing())},
-                                {"log", describeLog(m_hooks.log())},
-                                {"entry_hosts", describeHosts(m_hooks.hosts())},
-                                {"targets", m_hooks.targetCount()}});
+                                {"id", m_services.id.str()},
+                                {"standing", describeStanding(*m_services.standing())},
+                                {"log", describeLog(m_services.log())},
+                                {"entry_hosts", describeHosts(m_services.hosts())},
+                                {"targets", m_services.targetCount()}});
     }
 
-    const core::HostId m_id;
-    const OperatorHooks m_hooks;
+    const ControlServices m_services;
 };
 
 } // namespace
 
-http::Handler operatorHandler(core::HostId id, OperatorHooks hooks)
+http::Handler operatorHandler(ControlServices services)
 {
-    const auto front = std::make_shared<Front>(std::move(id), std::move(hooks));
+    const auto front = std::make_shared<Front>(std::move(services));
     return [front](http::Exchange &exchange) {
         front->handle(exchange);
     };
--- a/src/control/peerfeed.cpp
+++ b/src/control/peerfeed.cpp
@@ -11,17 +11,19 @@
 namespace
 {
 
-constexpr auto Hold = std::chrono::milliseconds(2000);
-constexpr auto FollowTimeout = std::chrono::milliseconds(4000);
+constexpr auto Hold = std::chrono::milliseconds(1000);
+constexpr auto FollowTimeout = std::chrono::milliseconds(1800);
 constexpr auto RetryDelay = std::chrono::milliseconds(500);
-constexpr auto SilentLimit = std::chrono::seconds(10);
+/** A dead entry host must have left the answers to callers within some six seconds; its control host may die with it. */
+constexpr auto SilentLimit = std::chrono::seconds(3);
 
 } // namespace
 
 PeerFeed::PeerFeed(Parts parts, core::HostId peer, const std::string &address)
     : m_parts(std::move(parts))
     , m_peer(std::move(peer))
-    , m_client(address)
+    , m_address(address)
+    , m_client(std::make_shared<rpc::ControlClient>(address))
     , m_lastAnswer(m_parts.timers.now())
 {
 }
@@ -45,12 +47,14 @@
     }
     rpc::FollowRequest request;
     request.set_peer(true);
+    request.mutable_host()->set_id(m_parts.self.id.str());
+    request.mutable_host()->set_domain(m_parts.self.domain.str());
     // The standing comes through the replicated log.
     request.set_revision(std::numeric_limits<std::uint64_t>::max());
     request.set_feed_id(m_feedId);
     request.set_feed_position(m_feedPosition);
     request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
-    m_client.follow(request, FollowTimeout, [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
+    m_client->follow(request, FollowTimeout, [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
         self->m_parts.pool.post([self, reply = std::move(reply)]() {
             self->take(reply);
         });
@@ -71,7 +75,9 @@
     }
     if (now - m_lastAnswer > SilentLimit) {
         m_parts.hub.forgetSource(m_peer);
+        m_parts.silent(m_peer);
     }
+    m_client = std::make_shared<rpc::ControlClient>(m_address);
     askLater();
 }
 
@@ -81,7 +87,7 @@
     for (const auto &message : reply.targets()) {
         const auto target = rpc::decode(message);
         if (core::ok(target)) {
-            changed = m_parts.hub.learn(core::value(target)) || changed;
+            changed = m_parts.learn(core::value(target)) || changed;
         }
     }
     if (reply.hosts_changed()) {
--- a/src/control/peerfeed.h
+++ b/src/control/peerfeed.h
@@ -26,8 +26,14 @@
         core::WorkerPool &pool;
         core::TimerService &timers;
         membership::Hub &hub;
+        /** This host as others are to know it. */
+        membership::ControlHost self;
+        /** Takes a target's word; whether it was new. */
+        std::function<bool(const targets::Target &)> learn;
         /** Called after something new came. */
         std::function<void()> news;
+        /** Called where the other has been silent for so long that what it alone knew is forgotten. */
+        std::function<void(const core::HostId &)> silent;
     };
 
     PeerFeed(Parts parts, core::HostId peer, const std::string &address);
@@ -43,7 +49,8 @@
 
     const Parts m_parts;
     const core::HostId m_peer;
-    rpc::ControlClient m_client;
+    const std::string m_address;
+    std::shared_ptr<rpc::ControlClient> m_client;
     std::atomic<bool> m_stopped{false};
     /** One call at a time, so these need no lock. */
     std::uint64_t m_feedId = 0;
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -8,11 +8,13 @@
 namespace
 {
 
-constexpr auto DeliverTimeout = std::chrono::seconds(2);
+/** A message of the log that is older is of no use: an election takes a second. */
+constexpr auto DeliverTimeout = std::chrono::seconds(1);
 
 } // namespace
 
-Peers::Peers(const PeerAddresses &addresses)
+Peers::Peers(const PeerAddresses &addresses, std::function<std::string(const core::HostId &)> addressOf)
+    : m_addressOf(std::move(addressOf))
 {
     learn(addresses);
 }
@@ -25,14 +27,39 @@
     }
     rpc::Envelope envelope;
     rpc::encode(message, envelope);
-    client->deliver(envelope, DeliverTimeout);
+    client->deliver(envelope, DeliverTimeout, [this, host = message.to.host]() {
+        renew(host);
+    });
 }
 
-std::shared_ptr<rpc::PeerClient> Peers::find(const core::HostId &host) const
+std::shared_ptr<rpc::PeerClient> Peers::find(const core::HostId &host)
 {
     const core::Lock lock(m_mutex);
     const auto found = m_peers.find(host);
-    return found == m_peers.end() ? nullptr : found->second.client;
+    if (found != m_peers.end()) {
+        return found->second.client;
+    }
+    const auto address = addressWithLock(host);
+    if (address.empty()) {
+        return nullptr;
+    }
+    return m_peers.emplace(host, Peer{address, std::make_shared<rpc::PeerClient>(address)}).first->second.client;
+}
+
+std::string Peers::addressOf(const core::HostId &host) const
+{
+    const core::Lock lock(m_mutex);
+    return addressWithLock(host);
+}
+
+std::vector<core::HostId> Peers::known() const
+{
+    const core::Lock lock(m_mutex);
+    std::vector<core::HostId> hosts;
+    for (const auto &[host, peer] : m_peers) {
+        hosts.push_back(host);
+    }
+    return hosts;
 }
 
 void Peers::learn(const PeerAddresses &addresses)
@@ -46,4 +73,22 @@
     }
 }
 
+void Peers::renew(const core::HostId &host)
+{
+    const core::Lock lock(m_mutex);
+    const auto found = m_peers.find(host);
+    if (found != m_peers.end()) {
+        found->second.client = std::make_shared<rpc::PeerClient>(found->second.address);
+    }
+}
+
+std::string Peers::addressWithLock(const core::HostId &host) const
+{
+    const auto found = m_peers.find(host);
+    if (found != m_peers.end()) {
+        return found->second.address;
+    }
+    return m_addressOf ? m_addressOf(host) : std::string();
+}
+
 } // namespace pimentoshed::control
--- a/src/control/peers.h
+++ b/src/control/peers.h
@@ -10,9 +10,11 @@
 #include "rpc/controlclient.h"
 #include "rpc/peerclient.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pimentoshed::control
 {
@@ -24,13 +26,19 @@
 class Peers
 {
 public:
-    explicit Peers(const PeerAddresses &addresses);
+    /** @p addressOf says where a host is that @p addresses doesn't name; may be empty. */
+    explicit Peers(const PeerAddresses &addresses, std::function<std::string(const core::HostId &)> addressOf = nullptr);
 
-    /** Sends @p message, which may be lost. */
+    /** Sends @p message, which may be lost. A connection on which nothing comes back is given up for a new one. */
     void send(const consensus::Message &message);
 
     /** The client for @p host, or nullptr where its address is not known. */
-    std::shared_ptr<rpc::PeerClient> find(const core::HostId &host) const;
+    std::shared_ptr<rpc::PeerClient> find(const core::HostId &host);
+
+    /** Where @p host takes the calls of other hosts; empty where that is not known. */
+    std::string addressOf(const core::HostId &host) const;
+
+    std::vector<core::HostId> known() const;
 
     /** Adds or corrects addresses. */
     void learn(const PeerAddresses &addresses);
@@ -41,6 +49,10 @@
         std::shared_ptr<rpc::PeerClient> client;
     };
 
+    void renew(const core::HostId &host);
+    std::string addressWithLock(const core::HostId &host) const;
+
+    const std::function<std::string(const core::HostId &)> m_addressOf;
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
     std::map<core::HostId, Peer> m_peers;
 };
--- a/src/control/replicatedstate.cpp
+++ b/src/control/replicatedstate.cpp
@@ -2,34 +2,94 @@
 
 #include "core/log.h"
 #include "rpc/commandcodec.h"
+#include "rpc/statecodec.h"
+
+#include <utility>
 
 namespace pimentoshed::control
 {
 
-ReplicatedState::ReplicatedState()
-    : m_standing(std::make_shared<const changes::Standing>())
+ReplicatedState::ReplicatedState(configuration::FileParser parser,
+                                 std::function<void(const targets::Target &)> withdrawn)
+    : m_parser(std::move(parser))
+    , m_withdrawn(std::move(withdrawn))
+    , m_ledger(m_parser)
+    , m_standing(std::make_shared<const changes::Standing>())
 {
 }
 
 std::string ReplicatedState::apply(const std::string &payload)
 {
-    const auto change = rpc::decodeCommand(payload);
-    if (!core::ok(change)) {
-        core::log(core::LogLevel::Error, "command-malformed", {{"error", describe(core::error(change))}});
-        return rpc::encodeAnswer(core::error(change));
+    const auto command = rpc::decodeCommand(payload);
+    if (!core::ok(command)) {
+        core::log(core::LogLevel::Error, "command-malformed", {{"error", describe(core::error(command))}});
+        return rpc::encodeAnswer(core::error(command));
+    }
+    if (const auto *target = std::get_if<targets::Target>(&core::value(command))) {
+        return rpc::encodeAnswer(withdraw(*target));
     }
     const core::Lock lock(m_mutex);
-    const auto answer = m_ledger.apply(core::value(change));
+    const auto answer = m_ledger.apply(std::get<changes::Change>(core::value(command)));
     publish();
     return rpc::encodeAnswer(answer);
 }
 
+changes::Answer ReplicatedState::withdraw(const targets::Target &target)
+{
+    targets::Target known;
+    changes::Accepted accepted;
+    {
+        const core::Lock lock(m_mutex);
+        known = m_withdrawals.take(target);
+        accepted = {m_standing->revision, m_standing->version};
+    }
+    m_withdrawn(known);
+    return accepted;
+}
+
 std::shared_ptr<const changes::Standing> ReplicatedState::standing() const
 {
     const core::Lock lock(m_mutex);
     return m_standing;
 }
 
+targets::Target ReplicatedState::asWithdrawn(const targets::Target &target) const
+{
+    const core::Lock lock(m_mutex);
+    return m_withdrawals.applyTo(target);
+}
+
+std::string ReplicatedState::snapshot() const
+{
+    const core::Lock lock(m_mutex);
+    return rpc::encodeState({m_ledger.snapshot(), m_withdrawals.all()});
+}
+
+core::Status ReplicatedState::restore(const std::string &bytes)
+{
+    auto state = rpc::decodeState(bytes);
+    if (!core::ok(state)) {
+        return core::error(state);
+    }
+    auto ledger = changes::Ledger::restore(std::move(core::value(state).ledger), m_parser);
+    if (!core::ok(ledger)) {
+        return core::error(ledger);
+    }
+    {
+        const core::Lock lock(m_mutex);
+        m_ledger = std::move(core::value(ledger));
+        m_withdrawals = {};
+        for (const auto &target : core::value(state).withdrawals) {
+            m_withdrawals.take(target);
+        }
+        publish();
+    }
+    for (const auto &target : core::value(state).withdrawals) {
+        m_withdrawn(target);
+    }
+    return std::monostate{};
+}
+
 void ReplicatedState::publish()
 {
     if (m_standing->revision != m_ledger.standing().revision) {
--- a/src/control/replicator.cpp
+++ b/src/control/replicator.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr auto SubmitLimit = std::chrono::seconds(5);
+/** Applied entries that a restart has to read again at most; some hundred changes are made in a day. */
+constexpr std::uint64_t EntriesPerSnapshot = 256;
 /** The disk of a host that was there from the start. */
 constexpr const char *InitialDisk = "initial";
 
@@ -68,6 +70,7 @@
     std::unique_ptr<Replicator> made(
         new Replicator(std::move(journal), std::move(core::value(replica)), std::move(hooks)));
     made->m_applied = firstAfter(core::value(log));
+    made->m_snapshotAt = made->m_applied;
     if (core::value(log).snapshot) {
         made->m_hooks.restore(core::value(log).snapshot->payload);
     }
@@ -181,6 +184,7 @@
 {
     Deferred deferred;
     carryOut(m_replica.takeEffects(), deferred);
+    compactIfLong();
     expirePending(deferred);
     lock.unlock();
     for (const auto &task : deferred) {
@@ -219,6 +223,7 @@
     if (effects.restore) {
         m_hooks.restore(effects.restore->payload);
         m_applied = effects.restore->last.index;
+        m_snapshotAt = m_applied;
     }
     for (const auto &entry : effects.committed) {
         std::string answer;
@@ -266,6 +271,18 @@
     }
 }
 
+void Replicator::compactIfLong()
+{
+    if (m_applied.value() < m_snapshotAt.value() + EntriesPerSnapshot) {
+        return;
+    }
+    m_snapshotAt = m_applied;
+    const auto compacted = m_replica.compact(m_applied, m_hooks.snapshot());
+    if (!core::ok(compacted)) {
+        core::log(core::LogLevel::Error, "snapshot-refused", {{"error", describe(core::error(compacted))}});
+    }
+}
+
 void Replicator::expirePending(Deferred &deferred)
 {
     const auto now = m_hooks.now();
--- a/src/control/replicator.h
+++ b/src/control/replicator.h
@@ -25,6 +25,8 @@
     std::function<std::string(const std::string &)> apply;
     /** Replaces the replicated state. Called with the mutex held. */
     std::function<void(const std::string &)> restore;
+    /** The replicated state as bytes that restore takes. Called with the mutex held. */
+    std::function<std::string()> snapshot;
     /** Sends a message; may lose it. Called without the mutex. */
     std::function<void(const consensus::Message &)> send;
     /** Called without the mutex after something was applied. */
@@ -90,6 +92,8 @@
     void answerPending(const consensus::Entry &entry, const std::string &answer, Deferred &deferred);
     void answerReads(const consensus::Effects &effects, Deferred &deferred);
     void expirePending(Deferred &deferred);
+    /** Replaces the applied part of the log by a snapshot once it has grown long. */
+    void compactIfLong();
     void store(const consensus::Effects &effects);
     core::Status write(const consensus::Effects &effects);
     /** Puts one record in the place of all, so that a restart reads a bounded amount. */
@@ -99,6 +103,7 @@
     mutable core::RankedMutex m_mutex{core::LockRank::Replica};
     consensus::Replica m_replica;
     consensus::LogIndex m_applied;
+    consensus::LogIndex m_snapshotAt;
     std::map<consensus::LogIndex, Pending> m_pending;
     std::map<consensus::ReadToken, ConfirmHook> m_reads;
     consensus::ReadToken m_lastRead;
--- /dev/null
+++ b/src/control/targetdesk.cpp
@@ -0,0 +1,67 @@
+#include "control/targetdesk.h"
+
+#include "core/log.h"
+
+#include <utility>
+
+namespace pimentoshed::control
+{
+
+TargetDesk::TargetDesk(Parts parts)
+    : m_parts(std::move(parts))
+{
+}
+
+targets::Reception TargetDesk::announce(targets::Target target, core::TimePoint leaseEnd)
+{
+    target.origin = m_parts.self;
+    target = m_parts.asWithdrawn(target);
+    const auto reception = m_table.announce(target, leaseEnd);
+    if (reception == targets::Reception::Changed) {
+        core::log(core::LogLevel::Info,
+                  "target-announced",
+                  {{"target", target.id.str()},
+                   {"service", target.service.str()},
+                   {"address", target.address},
+                   {"condition", core::nameOf(targets::ConditionNames, target.condition)}});
+        if (const auto known = m_table.find(target.id)) {
+            m_parts.hub.learn(*known);
+        }
+        m_parts.news();
+    }
+    return reception;
+}
+
+bool TargetDesk::learn(const targets::Target &target)
+{
+    const auto reception = m_table.learn(m_parts.asWithdrawn(target));
+    if (reception != targets::Reception::Changed && reception != targets::Reception::Reasserted) {
+        return false;
+    }
+    const auto known = m_table.find(target.id);
+    return known && m_parts.hub.learn(*known);
+}
+
+void TargetDesk::expire(core::TimePoint now)
+{
+    const auto expired = m_table.expire(now);
+    for (const auto &target : expired) {
+        core::log(core::LogLevel::Warning, "target-lease-ended", {{"target", target.id.str()}});
+        m_parts.hub.learn(target);
+    }
+    if (!expired.empty()) {
+        m_parts.news();
+    }
+}
+
+void TargetDesk::adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd)
+{
+    m_table.adoptLeases(origin, leaseEnd);
+}
+
+std::optional<targets::Target> TargetDesk::find(const core::TargetId &id) const
+{
+    return m_table.find(id);
+}
+
+} // namespace pimentoshed::control
--- /dev/null
+++ b/src/control/targetdesk.h
@@ -0,0 +1,50 @@
+/**
+ * @file
+ * Where the words of targets come together at a control host, from themselves, from other hosts and from the log.
+ */
+#pragma once
+
+#include "core/time.h"
+#include "membership/hub.h"
+#include "targets/targettable.h"
+
+#include <functional>
+
+namespace pimentoshed::control
+{
+
+/** Keeps the leases of the targets that announce themselves here, and passes each new word on. Thread-safe. */
+class TargetDesk
+{
+public:
+    struct Parts {
+        membership::Hub &hub;
+        core::HostId self;
+        /** A target as it may be known, given the withdrawals. */
+        std::function<targets::Target(const targets::Target &)> asWithdrawn;
+        /** Called after something new came. */
+        std::function<void()> news;
+    };
+
+    explicit TargetDesk(Parts parts);
+
+    /** Takes @p target's own announcement, with a lease until @p leaseEnd. */
+    targets::Reception announce(targets::Target target, core::TimePoint leaseEnd);
+
+    /** Takes what another host says of a target. Whether it was new. */
+    bool learn(const targets::Target &target);
+
+    /** Ends the leases that have run out. */
+    void expire(core::TimePoint now);
+
+    /** Keeps the leases that @p origin kept, which is silent. */
+    void adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd);
+
+    std::optional<targets::Target> find(const core::TargetId &id) const;
+
+private:
+    const Parts m_parts;
+    targets::TargetTable m_table;
+};
+
+} // namespace pimentoshed::control
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -38,6 +38,7 @@
 };
 
 using ServiceName = Id<struct ServiceNameTag>;
+using RouteName = Id<struct RouteNameTag>;
 using InstitutionName = Id<struct InstitutionNameTag>;
 using FailureDomain = Id<struct FailureDomainTag>;
 /** A control or entry host. */
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -8,6 +8,9 @@
 #include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <map>
+#include <optional>
+#include <utility>
 
 namespace pimentoshed::core
 {
@@ -40,6 +43,42 @@
     return mutex;
 }
 
+/** Lines of one event in a second: what a reader can follow, and little against the work that they tell of. */
+constexpr unsigned LinesPerSecond = 20;
+
+/** The lines of one event. */
+class LineBudget
+{
+public:
+    /** How many lines were dropped before this one, or nothing where this one is to be dropped too. */
+    std::optional<std::uint64_t> take(std::chrono::steady_clock::time_point now)
+    {
+        if (now - m_start >= std::chrono::seconds(1)) {
+            m_start = now;
+            m_written = 0;
+        }
+        if (m_written == LinesPerSecond) {
+            ++m_dropped;
+            return std::nullopt;
+        }
+        ++m_written;
+        return std::exchange(m_dropped, 0);
+    }
+
+private:
+    std::chrono::steady_clock::time_point m_start{};
+    unsigned m_written = 0;
+    std::uint64_t m_dropped = 0;
+};
+
+/** The budget of @p event; events are named by constants, so that there are few. Called with the output's mutex. */
+LineBudget &budgetOf(std::string_view event)
+{
+    static std::map<std::string, LineBudget, std::less<>> budgets;
+    const auto found = budgets.find(event);
+    return found == budgets.end() ? budgets.emplace(event, LineBudget()).first->second : found->second;
+}
+
 std::string timestamp()
 {
     const auto now = std::chrono::system_clock::now();
@@ -110,6 +149,11 @@
     if (level < threshold().load()) {
         return;
     }
+    const Lock lock(outputMutex());
+    const auto dropped = budgetOf(event).take(std::chrono::steady_clock::now());
+    if (!dropped) {
+        return;
+    }
     std::string line = fmt::format(R"({{"time":"{}","level":"{}","host":{},"event":{})",
                                    timestamp(),
                                    nameOf(LevelNames, level),
@@ -118,9 +162,12 @@
     for (const auto &field : fields) {
         line += fmt::format(",{}:{}", jsonQuote(field.name), field.encoded);
     }
+    if (*dropped > 0) {
+        line += fmt::format(",\"lines_dropped_before\":{}", *dropped);
+    }
     line += "}\n";
-    const Lock lock(outputMutex());
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::fwrite(line.data(), 1, line.size(), stdout);
+    std::fflush(stdout);
 }
 
 std::string jsonQuote(std::string_view text)
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * Log lines: one JSON object a line, to standard error.
+ * Log lines: one JSON object a line, to standard output.
  */
 #pragma once
 
@@ -41,7 +41,10 @@
 /** Sets what the "host" field of every line says. Call before the workers start. */
 void setLogHost(std::string host);
 
-/** Writes one line; whole lines of different threads never mix. */
+/**
+ * Writes one line; whole lines of different threads never mix. Of one event some lines a second are written at most; the
+ * next one that is says how many were dropped.
+ */
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
 /** @p text as a JSON string with its quotes; bytes that are not ASCII pass unchanged. */
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -2,10 +2,10 @@
 
 #include "core/log.h"
 #include "http/json.h"
+#include "http/looks.h"
 #include "http/relay.h"
 
 #include <algorithm>
-#include <charconv>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -22,48 +22,21 @@
 
 constexpr std::string_view AddressesPath = "/pimentoshed/v1/addresses";
 
-status statusOf(ErrorCode code)
-{
-    switch (code) {
-    case ErrorCode::NoSuchService:
-        return status::not_found;
-    case ErrorCode::RequestMalformed:
-    case ErrorCode::RequestKeyMissing:
-        return status::bad_request;
-    case ErrorCode::RequestTooLarge:
-        return status::payload_too_large;
-    case ErrorCode::CallerTooSlow:
-        return status::request_timeout;
-    case ErrorCode::DeadlinePassed:
-        return status::gateway_timeout;
-    case ErrorCode::TargetFailed:
-    case ErrorCode::AnswerTruncated:
-        return status::bad_gateway;
-    case ErrorCode::RequestKeyUsed:
-        return status::conflict;
-    default:
-        return status::service_unavailable;
-    }
-}
-
-http::Reply refusal(const requests::Outcome &outcome)
-{
-    auto reply = http::errorReply(statusOf(outcome.failure->code), *outcome.failure);
-    reply.headers.emplace_back(http::RunHeader, core::nameOf(requests::RunStateNames, outcome.run));
-    return reply;
-}
+/** A refused caller is to come back after about as long as an answer usually takes; spread, so that not all do at once. */
+constexpr core::Duration LeastRetryAfter = std::chrono::milliseconds(40);
+/** Connections that can't be made prove that nothing ran; a request is given up after so many all the same. */
+constexpr std::size_t MostTries = 6;
+constexpr core::Duration BodyPatience = std::chrono::seconds(10);
 
-http::Reply notRun(ErrorCode code, std::string detail)
+routing::AttemptOutcome attemptOutcome(const http::RelayResult &result)
 {
-    return refusal({RunState::NotRun, core::Error{code, std::move(detail)}});
-}
-
-routing::AttemptOutcome attemptOutcome(const requests::Outcome &outcome)
-{
-    if (!outcome.failure) {
+    if (result.serverError) {
+        return routing::AttemptOutcome::Failed;
+    }
+    if (!result.outcome.failure) {
         return routing::AttemptOutcome::Answered;
     }
-    switch (outcome.failure->code) {
+    switch (result.outcome.failure->code) {
     case ErrorCode::TargetFailed:
     case ErrorCode::AnswerTruncated:
     case ErrorCode::DeadlinePassed:
@@ -86,7 +59,7 @@
     {
         const auto standing = m_parts.view.current(m_parts.timers.now());
         if (!core::ok(standing)) {
-            exchange.send(refusal({RunState::NotRun, core::error(standing)}));
+            refuse(exchange, {RunState::NotRun, core::error(standing)});
             m_parts.ended({{}, core::error(standing).code, {}, {}});
             return;
         }
@@ -102,6 +75,20 @@
     }
 
 private:
+    /** A request on its way. */
+    struct Run {
+        http::Exchange &exchange;
+        const configuration::Route &route;
+        const configuration::Service &service;
+        http::RelayTerms terms;
+        core::TimePoint started{};
+        /** Targets that the request was sent to, or could not be. */
+        std::vector<core::TargetId> tried;
+        /** Of these, the ones that it reached. */
+        unsigned reached = 0;
+        requests::Outcome known;
+    };
+
     http::Reply addresses(const http::Exchange &exchange, const changes::Standing &standing) const
     {
         const auto &limits = standing.configuration->limits;
@@ -125,121 +112,243 @@
 
     void serve(http::Exchange &exchange, const changes::Standing &standing, telemetry::RequestEnd &end) const
     {
-        const auto *service = configuration::serviceForPath(*standing.configuration, exchange.path());
+        const auto failed = [&](core::Error error) {
+            end.failure = error.code;
+            refuse(exchange, {RunState::NotRun, std::move(error)});
+        };
+        const auto &configuration = *standing.configuration;
+        const auto *route = configuration::findRoute(configuration, hostName(exchange), exchange.path());
+        const auto *service =
+            route == nullptr ? nullptr : configuration::findService(configuration, chooseShare(*route));
         if (service == nullptr) {
-            end.failure = ErrorCode::NoSuchService;
-            exchange.send(notRun(ErrorCode::NoSuchService, std::string(exchange.path())));
+            failed({ErrorCode::NoSuchService, std::string(exchange.path())});
             return;
         }
         end.service = service->name.str();
-        const bool idempotent = configuration::isIdempotent(*service, exchange.method());
-        if (!idempotent && exchange.header(service->requestKeyHeader).empty()) {
-            end.failure = ErrorCode::RequestKeyMissing;
-            exchange.send(notRun(ErrorCode::RequestKeyMissing, service->requestKeyHeader));
+        const bool keyed = route->repeat == configuration::Repeat::ByMethod;
+        const bool idempotent = configuration::isIdempotent(*route, *service, exchange.method());
+        if (keyed && !idempotent && exchange.header(service->requestKeyHeader).empty()) {
+            failed({ErrorCode::RequestKeyMissing, service->requestKeyHeader});
             return;
         }
-        const auto deadline = deadlineOf(exchange, *service);
+        const auto deadline = deadlineOf(exchange, *route);
         if (!core::ok(deadline)) {
-            end.failure = core::error(deadline).code;
-            exchange.send(refusal({RunState::NotRun, core::error(deadline)}));
+            failed(core::error(deadline));
             return;
         }
-        http::RelayTerms terms;
-        terms.deadline = core::value(deadline);
-        terms.maxRequestBytes = service->maxRequestBytes;
-        terms.shedIsNotRun = service->shedIsNotRun;
-        terms.idempotent = idempotent;
-        followStanding(standing);
-        runAttempts(exchange, *service, std::move(terms), end);
+        if (const auto body = takeBody(exchange, core::value(deadline)); !core::ok(body)) {
+            exchange.closeAfterwards();
+            failed(core::error(body));
+            return;
+        }
+        Run run{exchange, *route, *service, {}, m_parts.timers.now(), {}, 0, {}};
+        run.terms.deadline = core::value(deadline);
+        run.terms.maxRequestBytes = service->maxRequestBytes;
+        run.terms.shedIsNotRun = service->shedIsNotRun;
+        run.terms.idempotent = idempotent;
+        run.terms.holdBytes = m_parts.terms.holdBytes;
+        run.terms.marking = &m_parts.marking;
+        runAttempts(run, end);
     }
 
-    core::Result<core::TimePoint> deadlineOf(const http::Exchange &exchange,
-                                             const configuration::Service &service) const
+    /** The host that the request names, without a port. */
+    static std::string_view hostName(const http::Exchange &exchange)
     {
-        const auto asked = exchange.header(http::DeadlineHeader);
-        const auto now = m_parts.timers.now();
-        if (asked.empty()) {
-            return now + service.deadline;
+        const auto host = exchange.header("Host");
+        return host.substr(0, host.find(':'));
+    }
+
+    /** One of the route's services, each as often as its weight says. */
+    core::ServiceName chooseShare(const configuration::Route &route) const
+    {
+        double total = 0;
+        for (const auto &share : route.shares) {
+            total += share.weight;
         }
-        std::uint32_t millis = 0;
-        const auto [end, code] = std::from_chars(asked.data(), asked.data() + asked.size(), millis);
-        if (code != std::errc() || end != asked.data() + asked.size()) {
-            return core::Error{ErrorCode::RequestMalformed, std::string(http::DeadlineHeader)};
+        constexpr double Steps = 1U << 30U;
+        double left = total * static_cast<double>(core::below(m_parts.random, 1U << 30U)) / Steps;
+        for (const auto &share : route.shares) {
+            if (left < share.weight) {
+                return share.service;
+            }
+            left -= share.weight;
         }
-        return now + std::min<core::Duration>(service.deadline, std::chrono::milliseconds(millis));
+        return route.shares.back().service;
     }
 
-    void followStanding(const changes::Standing &standing) const
+    core::Result<core::TimePoint> deadlineOf(const http::Exchange &exchange, const configuration::Route &route) const
     {
-        m_parts.router.setOutDomains(outDomains(standing));
-        if (m_parts.router.configure(standing.configuration)) {
-            for (const auto &target : m_parts.targets.all()) {
-                m_parts.router.update(target);
-            }
+        const auto given = m_parts.marking.timeGiven(exchange);
+        if (!core::ok(given)) {
+            return core::error(given);
         }
+        return m_parts.timers.now() + std::min(route.deadline, core::value(given).value_or(route.deadline));
+    }
+
+    /** Takes a small body before a target is chosen: a slow caller then holds none up. */
+    core::Status takeBody(http::Exchange &exchange, core::TimePoint deadline) const
+    {
+        if (!exchange.body().present()) {
+            return std::monostate{};
+        }
+        const auto patience = std::min<core::Duration>(BodyPatience, deadline - m_parts.timers.now());
+        exchange.sendContinue();
+        exchange.stream().expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(patience));
+        auto taken = exchange.body().prefetch(exchange.yield());
+        exchange.stream().expires_never();
+        if (!core::ok(taken) && m_parts.timers.now() >= deadline) {
+            return core::Error{ErrorCode::CallerTooSlow, "sending its request"};
+        }
+        return taken;
     }
 
     /** Attempts until one answers the caller or no further one is allowed. */
-    void runAttempts(http::Exchange &exchange,
-                     const configuration::Service &service,
-                     http::RelayTerms terms,
-                     telemetry::RequestEnd &end) const
+    void runAttempts(Run &run, telemetry::RequestEnd &end) const
     {
-        m_parts.firstAttempt(service);
-        std::vector<core::TargetId> tried;
-        requests::Outcome known;
+        m_parts.firstAttempt(run.service);
         while (true) {
-            const auto assignment = assign(service, tried);
+            std::unique_ptr<http::TargetConnection> connection;
+            const auto assignment = assign(run, connection);
             if (!core::ok(assignment)) {
                 end.failure = core::error(assignment).code;
-                refuse(exchange, tried.empty() ? requests::Outcome{RunState::NotRun, core::error(assignment)} : known);
+                if (run.reached == 0) {
+                    run.known = {RunState::NotRun, core::error(assignment)};
+                }
+                logRefusal(run);
+                refuse(run.exchange, run.known);
                 return;
             }
-            const auto result = attempt(exchange, core::value(assignment), terms);
+            const auto result = attempt(run, core::value(assignment), std::move(connection));
             end.waited = result.waited;
             if (!result.outcome.failure) {
                 end.failure.reset();
                 return;
             }
-            tried.push_back(core::value(assignment).target->id);
-            known = together(known, result.outcome);
-            end.failure = known.failure->code;
-            const RetryCase failed{
-                service, terms.idempotent, known.run, static_cast<unsigned>(tried.size()), timeLeft(terms)};
-            if (!canRepeat(result) || !m_parts.mayRetry(failed)) {
-                finish(exchange, result, known);
+            note(run, core::value(assignment).target->id, result);
+            end.failure = run.known.failure->code;
+            if (!canRepeat(result) || run.tried.size() >= MostTries || !mayRetry(run)) {
+                finish(run, result);
                 return;
             }
-            exchange.body().rewind();
+            run.exchange.body().rewind();
+        }
+    }
+
+    /** Takes what a failed attempt at target @p id says. */
+    static void note(Run &run, const core::TargetId &id, const http::RelayResult &result)
+    {
+        run.tried.push_back(id);
+        run.known = run.reached == 0 ? result.outcome : together(run.known, result.outcome);
+        if (result.stage >= requests::AttemptStage::HeadSent) {
+            ++run.reached;
         }
     }
 
-    http::RelayResult attempt(http::Exchange &exchange,
+    bool mayRetry(const Run &run) const
+    {
+        const RetryCase failed{run.service,
+                               run.terms.idempotent,
+                               run.known.run,
+                               run.reached,
+                               run.route.attempts,
+                               run.terms.deadline - m_parts.timers.now()};
+        // What reached no target is no repeat there.
+        return run.reached == 0 ? mayRunAgain(failed) : m_parts.mayRetry(failed);
+    }
+
+    http::RelayResult attempt(Run &run,
                               const routing::Assignment &assignment,
-                              http::RelayTerms &terms) const
+                              std::unique_ptr<http::TargetConnection> connection) const
     {
+        auto &terms = run.terms;
         terms.address = assignment.target->address;
+        terms.target = assignment.target->id;
+        terms.passServerErrors = !run.terms.idempotent || run.reached + 1 >= run.route.attempts;
         const auto started = m_parts.timers.now();
-        auto result = http::relay(exchange, m_parts.connections, terms);
+        auto result = connection
+                          ? http::relayOn(std::move(connection), run.exchange, m_parts.connections, terms)
+                          : http::relay(run.exchange, m_parts.connections, terms);
         const auto ended = m_parts.timers.now();
-        m_parts.router.release(assignment, {attemptOutcome(result.outcome), ended - started, std::nullopt}, ended);
+        m_parts.router.release(assignment, {attemptOutcome(result), ended - started, result.load}, ended);
         if (result.outcome.failure) {
-            logFailure(assignment.target->id, result);
+            logFailure(run, *assignment.target, result);
         }
         return result;
     }
 
-    /** Each attempt sees the present configuration and targets, but for those that have failed this request. */
-    core::Result<routing::Assignment> assign(const configuration::Service &service,
-                                             const std::vector<core::TargetId> &tried) const
+    /** Each attempt sees the present targets, but for those that have failed this request. */
+    core::Result<routing::Assignment> assign(const Run &run, std::unique_ptr<http::TargetConnection> &connection) const
     {
         const auto now = m_parts.timers.now();
-        const auto standing = m_parts.view.current(now);
-        if (!core::ok(standing)) {
+        if (const auto standing = m_parts.view.current(now); !core::ok(standing)) {
             return core::error(standing);
         }
-        m_parts.router.setOutDomains(outDomains(*core::value(standing)));
-        return m_parts.router.assign(service.name, now, tried);
+        routing::AssignTerms terms;
+        terms.avoid = run.tried;
+        terms.objective = run.route.objective == core::Duration{}
+                              ? core::Duration{}
+                              : std::max(run.route.objective - (now - run.started), core::Duration{1});
+        std::vector<Looked> looked;
+        std::vector<core::TargetId> among;
+        if (m_parts.terms.looks > 1 && !run.service.healthPath.empty()) {
+            looked = look(run, terms);
+            for (const auto &each : looked) {
+                if (each.look.load) {
+                    among.push_back(each.target->id);
+                }
+            }
+        }
+        terms.among = among;
+        auto assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
+        if (!core::ok(assignment) && !among.empty()) {
+            terms.among = {};
+            assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
+        }
+        for (auto &each : looked) {
+            if (!each.look.connection) {
+                continue;
+            }
+            if (core::ok(assignment) && core::value(assignment).target->id == each.target->id) {
+                connection = std::move(each.look.connection);
+            } else {
+                m_parts.connections.give(
+                    each.target->address, std::move(each.look.connection), m_parts.timers.now());
+            }
+        }
+        return assignment;
+    }
+
+    /** A target and what it said just now. */
+    struct Looked {
+        std::shared_ptr<const targets::Target> target;
+        http::Look look;
+    };
+
+    /** Asks the most promising targets for their load. */
+    std::vector<Looked> look(const Run &run, const routing::AssignTerms &terms) const
+    {
+        const auto chosen =
+            m_parts.router.shortlist(run.service.name, m_parts.timers.now(), terms, m_parts.terms.looks);
+        if (chosen.size() < 2) {
+            return {};
+        }
+        std::vector<http::LookTarget> asked;
+        for (const auto &target : chosen) {
+            asked.push_back({target->id, target->address});
+        }
+        auto looks = http::lookAt(run.exchange,
+                                  m_parts.connections,
+                                  asked,
+                                  {run.service.healthPath, m_parts.terms.lookPatience, m_parts.marking});
+        const auto now = m_parts.timers.now();
+        std::vector<Looked> looked;
+        for (std::size_t position = 0; position < chosen.size(); ++position) {
+            if (looks[position].load) {
+                m_parts.router.noteReport(*chosen[position], *looks[position].load, now);
+            }
+            looked.push_back({chosen[position], std::move(looks[position])});
+        }
+        return looked;
     }
 
     /** Not run only where no attempt ran. */
@@ -250,40 +359,56 @@
 
     static bool canRepeat(const http::RelayResult &result)
     {
+        const auto code = result.outcome.failure->code;
         return !result.answered && !result.bodyTaken && !result.callerGone
-               && result.outcome.failure->code == ErrorCode::TargetFailed;
+               && (code == ErrorCode::TargetFailed || code == ErrorCode::AnswerTruncated);
     }
 
-    core::Duration timeLeft(const http::RelayTerms &terms) const
-    {
-        return terms.deadline - m_parts.timers.now();
-    }
-
-    static void logFailure(const core::TargetId &target, const http::RelayResult &result)
+    void logFailure(const Run &run, const targets::Target &target, const http::RelayResult &result) const
     {
         core::log(core::LogLevel::Info,
                   "attempt-failed",
-                  {{"target", target.str()},
+                  {{"request", m_parts.marking.requestId(run.exchange)},
+                   {"service", run.service.name.str()},
+                   {"target", target.id.str()},
+                   {"condition", core::nameOf(targets::ConditionNames, target.condition)},
+                   {"attempt", static_cast<std::uint64_t>(run.tried.size() + 1)},
                    {"stage", core::nameOf(requests::AttemptStageNames, result.stage)},
+                   {"run", core::nameOf(requests::RunStateNames, result.outcome.run)},
                    {"error", describe(*result.outcome.failure)}});
     }
 
-    static void finish(http::Exchange &exchange, const http::RelayResult &result, const requests::Outcome &known)
+    void logRefusal(const Run &run) const
+    {
+        core::log(core::LogLevel::Info,
+                  "request-refused",
+                  {{"request", m_parts.marking.requestId(run.exchange)},
+                   {"service", run.service.name.str()},
+                   {"run", core::nameOf(requests::RunStateNames, run.known.run)},
+                   {"tried", static_cast<std::uint64_t>(run.tried.size())},
+                   {"error", describe(*run.known.failure)}});
+    }
+
+    void finish(const Run &run, const http::RelayResult &result) const
     {
         if (result.answered || result.callerGone) {
-            exchange.closeAfterwards();
+            run.exchange.closeAfterwards();
             return;
         }
-        refuse(exchange, known);
+        refuse(run.exchange, run.known);
     }
 
     /** A target that answered whole, but not to this caller, can't have its "ran" told in a refusal. */
-    static void refuse(http::Exchange &exchange, requests::Outcome outcome)
+    void refuse(http::Exchange &exchange, requests::Outcome outcome) const
     {
         if (outcome.run == RunState::Ran) {
             outcome.run = RunState::Unknown;
         }
-        exchange.send(refusal(outcome));
+        std::optional<core::Duration> retryAfter;
+        if (outcome.run == RunState::NotRun) {
+            retryAfter = LeastRetryAfter + LeastRetryAfter * core::below(m_parts.random, 100) / 100;
+        }
+        exchange.send(m_parts.marking.refusal({std::move(outcome), retryAfter}));
     }
 
     const CallerParts m_parts;
--- a/src/entry/callerfront.h
+++ b/src/entry/callerfront.h
@@ -8,6 +8,7 @@
 #include "entry/retry.h"
 #include "entry/view.h"
 #include "http/connectionpool.h"
+#include "http/marking.h"
 #include "http/server.h"
 #include "routing/router.h"
 #include "targets/targettable.h"
@@ -18,6 +19,16 @@
 namespace pimentoshed::entry
 {
 
+/** What varies between entry hosts in how they serve callers. */
+struct CallerTerms {
+    /** Bytes of an answer that are held back until it is whole, so that a broken one can be replaced. */
+    std::size_t holdBytes = 0;
+    /** Targets that are asked for their load before each attempt; 0 or 1 asks none. */
+    std::size_t looks = 0;
+    /** All answers to such questions that come later are not waited for. */
+    core::Duration lookPatience = std::chrono::milliseconds(8);
+};
+
 /** What the front works with. */
 struct CallerParts {
     View &view;
@@ -34,6 +45,8 @@
     std::function<void(const configuration::Service &)> firstAttempt;
     /** Hears of each request that ended. */
     std::function<void(const telemetry::RequestEnd &)> ended;
+    http::Marking marking;
+    CallerTerms terms;
 };
 
 /** The handler for an entry host's caller address. docs/INTERFACES.md lists what it serves. */
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -3,9 +3,9 @@
 #include "core/log.h"
 #include "core/timerservice.h"
 #include "core/workerpool.h"
-#include "entry/callerfront.h"
 #include "entry/follower.h"
-#include "entry/targetfront.h"
+#include "membership/ownership.h"
+#include "routing/coldpace.h"
 #include "telemetry/exposition.h"
 #include "telemetry/revisionclock.h"
 
@@ -47,13 +47,18 @@
     explicit Impl(const EntrySettings &settings)
         : m_settings(settings)
         , m_incarnation(makeIncarnation())
-        , m_router(settings.domain, {routing::makePicker(settings.picker), nullptr, threadRandom(), nullptr, true})
+        , m_coldPace({settings.id, m_incarnation, settings.domain})
+        , m_router(settings.domain, routerHooks())
         , m_targets([this](const auto &target) {
             m_router.update(target);
         })
         , m_pool(settings.workers)
         , m_timers(m_pool.context())
         , m_connections(m_pool.context())
+        , m_retryBudgets(settings.retriesInHand ? std::function<double()>([this]() {
+            return *m_settings.retriesInHand / static_cast<double>(std::max<std::size_t>(1, m_view.hosts().size()));
+        })
+                                                : nullptr)
         , m_follower(std::make_shared<Follower>(Follower::Parts{m_pool,
                                                                 m_timers,
                                                                 m_view,
@@ -61,6 +66,13 @@
                                                                 [this]() {
                                                                     return self();
                                                                 },
+                                                                settings.parser,
+                                                                [this](const changes::Standing &standing) {
+                                                                    followStanding(standing);
+                                                                },
+                                                                [this]() {
+                                                                    shareOutColdTargets();
+                                                                },
                                                                 trafficHook()},
                                                 settings.controlAddresses))
     {
@@ -88,9 +100,10 @@
             return 0;
         }
         m_stopping = true;
+        m_follower->tell();
         if (m_callers) {
             m_callers->closeAfterAnswers();
-            waitFor(addressesHeld());
+            waitFor(m_settings.stopServing.value_or(addressesHeld()));
         }
         const auto left = finishRequests();
         if (left > 0) {
@@ -129,13 +142,15 @@
                                                    [this]() {
                                                        return self();
                                                    },
-                                                   retryWithin(m_retryBudget),
+                                                   retryWithin(m_retryBudgets),
                                                    [this](const auto &service) {
-                                                       m_retryBudget.earn(service);
+                                                       m_retryBudgets.earn(service);
                                                    },
                                                    [this](const telemetry::RequestEnd &end) {
                                                        m_metrics.countRequest(end);
-                                                   }}))
+                                                   },
+                                                   m_settings.marking,
+                                                   m_settings.callers}))
                            .start();
         if (!core::ok(callers)) {
             return core::error(callers);
@@ -144,7 +159,7 @@
         auto platform = http::Server::Builder(m_pool.context())
                             .address(m_settings.platformListen)
                             .handler(telemetry::withMetrics(m_metrics,
-                                                            targetHandler({m_view,
+                                                            m_settings.makeTargetHandler({m_view,
                                                                            m_targets,
                                                                            m_timers,
                                                                            [this]() {
@@ -165,6 +180,48 @@
         return std::monostate{};
     }
 
+    routing::RouterHooks routerHooks()
+    {
+        routing::RouterHooks hooks;
+        hooks.picker = routing::makePicker(m_settings.picker);
+        hooks.random = threadRandom();
+        hooks.coldGate = [this](const auto &target, const auto &service, core::TimePoint now) {
+            return m_coldPace.mayStart(target, service, now);
+        };
+        hooks.coldStart = [this](const auto &target, const auto &service, core::TimePoint now) {
+            m_coldPace.started(target, service, now);
+        };
+        return hooks;
+    }
+
+    /** Has the cold targets shared out among the entry hosts that are known now. */
+    void shareOutColdTargets()
+    {
+        const auto now = m_timers.now();
+        const auto standing = m_view.latest();
+        if (!standing || !m_view.isCurrent(now)) {
+            return;
+        }
+        membership::OwnershipView view;
+        for (const auto &host : m_view.hosts()) {
+            if (!host.stopping) {
+                view.members.push_back({host.id, host.incarnation, host.domain});
+            }
+        }
+        m_coldPace.learn(std::move(view), now + standing->configuration->limits.permission);
+    }
+
+    /** Has the router know a standing's services before requests are routed by it. */
+    void followStanding(const changes::Standing &standing)
+    {
+        m_router.setOutDomains(outDomains(standing));
+        if (m_router.configure(standing.configuration)) {
+            for (const auto &target : m_targets.all()) {
+                m_router.update(target);
+            }
+        }
+    }
+
     membership::EntryHost self() const
     {
         return {m_settings.id, m_settings.domain, m_settings.callerListen, m_incarnation, m_stopping};
@@ -253,12 +310,13 @@
     telemetry::Registry m_metrics;
     telemetry::RevisionClock m_revisionClock;
     View m_view;
+    routing::ColdPace m_coldPace;
     routing::Router m_router;
     targets::TargetTable m_targets;
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     http::ConnectionPool m_connections;
-    RetryBudget m_retryBudget;
+    RetryBudgets m_retryBudgets;
     std::shared_ptr<Follower> m_follower;
     std::shared_ptr<http::Server> m_callers;
     std::shared_ptr<http::Server> m_platform;
--- a/src/entry/entryhost.h
+++ b/src/entry/entryhost.h
@@ -7,10 +7,14 @@
 #include "core/error.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "entry/callerfront.h"
+#include "entry/targetfront.h"
 #include "routing/picker.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +33,16 @@
     routing::PickerKind picker = routing::PickerKind::LeastExpectedTime;
     /** The most that a stop waits for requests in progress. */
     core::Duration stopLimit = std::chrono::seconds(30);
+    /** How long a stop goes on taking requests; without it, as long as callers may hold this host's address. */
+    std::optional<core::Duration> stopServing;
+    http::Marking marking = http::ownMarking();
+    CallerTerms callers;
+    /** Reads the operators' files. */
+    configuration::FileParser parser = configuration::parse;
+    /** Makes the handler of platformListen. */
+    std::function<http::Handler(TargetParts)> makeTargetHandler = targetHandler;
+    /** Retries in hand of each service, over all entry hosts; without it, what the services' ratios allow. */
+    std::optional<double> retriesInHand;
 };
 
 /** A running entry host. */
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -3,6 +3,8 @@
 #include "core/log.h"
 #include "rpc/codec.h"
 
+#include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -12,12 +14,15 @@
 namespace
 {
 
-constexpr auto Hold = std::chrono::milliseconds(500);
-constexpr auto FollowTimeout = std::chrono::milliseconds(1000);
+/** News end a hold at once; its length bounds only how long a silent control host goes unnoticed. */
+constexpr auto Hold = std::chrono::milliseconds(800);
+constexpr auto FollowTimeout = std::chrono::milliseconds(1200);
 constexpr auto ReportTimeout = std::chrono::milliseconds(500);
 constexpr auto RetryDelay = std::chrono::milliseconds(100);
 /** Another control host is tried where this one confirms nothing for so long. */
-constexpr auto ConfirmPatience = std::chrono::milliseconds(1500);
+constexpr auto ConfirmPatience = std::chrono::milliseconds(2200);
+/** After a change of control hosts, before a nearer one is tried again. */
+constexpr auto StayAfterFailure = std::chrono::seconds(5);
 constexpr std::size_t AsksKept = 64;
 
 } // namespace
@@ -26,8 +31,10 @@
     : m_parts(std::move(parts))
 {
     for (const auto &address : controlAddresses) {
-        m_clients.push_back(std::make_shared<rpc::ControlClient>(address));
+        m_controls.push_back({address, {}, std::make_shared<rpc::ControlClient>(address)});
     }
+    // Hosts that start together begin at different control hosts.
+    m_chosen = std::hash<std::string>{}(m_parts.self().id.str()) % m_controls.size();
 }
 
 void Follower::start()
@@ -61,11 +68,8 @@
     if (m_stopped) {
         return;
     }
-    rpc::FollowRequest request;
-    rpc::encode(m_parts.self(), *request.mutable_host());
-    request.set_revision(m_parts.view.revision());
-    request.set_feed_id(m_feedId);
-    request.set_feed_position(m_feedPosition);
+    preferNear();
+    auto request = question();
     request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
     request.set_ask(noteAsked());
     m_parts.traffic(telemetry::ControlMessage::FollowRequest, telemetry::Direction::Out, request.ByteSizeLong());
@@ -76,6 +80,24 @@
     });
 }
 
+void Follower::tell()
+{
+    // The reply brings nothing that the call held beside it doesn't bring.
+    client()->follow(question(), FollowTimeout, [](const core::Result<rpc::FollowReply> &) {});
+}
+
+rpc::FollowRequest Follower::question() const
+{
+    rpc::FollowRequest request;
+    rpc::encode(m_parts.self(), *request.mutable_host());
+    const auto standing = m_parts.view.latest();
+    request.set_revision(standing ? standing->revision : 0);
+    request.set_version(standing ? standing->version : 0);
+    request.set_feed_id(m_feedId);
+    request.set_feed_position(m_feedPosition);
+    return request;
+}
+
 std::uint64_t Follower::noteAsked()
 {
     const core::Lock lock(m_mutex);
@@ -92,7 +114,7 @@
         return;
     }
     if (!core::ok(reply)) {
-        core::log(core::LogLevel::Warning, "follow-failed", {{"error", describe(core::error(reply))}});
+        core::log(core::LogLevel::Warning, "follow-failed", {{"error", core::describe(core::error(reply))}});
         moveOn();
         later(RetryDelay, &Follower::ask);
         return;
@@ -100,6 +122,7 @@
     m_parts.traffic(
         telemetry::ControlMessage::FollowReply, telemetry::Direction::In, core::value(reply).ByteSizeLong());
     adopt(core::value(reply));
+    m_parts.afterReply();
     if (unconfirmedForLong()) {
         moveOn();
         later(RetryDelay, &Follower::ask);
@@ -110,13 +133,8 @@
 
 void Follower::adopt(const rpc::FollowReply &reply)
 {
-    if (reply.has_standing()) {
-        auto standing = rpc::decode(reply.standing());
-        if (!core::ok(standing)) {
-            core::log(core::LogLevel::Error, "standing-refused", {{"error", describe(core::error(standing))}});
-            return;
-        }
-        m_parts.view.adopt(std::move(core::value(standing)));
+    if (!adoptStanding(reply)) {
+        return;
     }
     for (const auto &message : reply.targets()) {
         const auto target = rpc::decode(message);
@@ -130,6 +148,7 @@
             hosts.push_back(rpc::decode(host));
         }
         m_parts.view.setHosts(std::move(hosts));
+        adoptControlHosts(reply);
     }
     confirm(reply);
     m_feedPosition = reply.feed_position();
@@ -138,6 +157,70 @@
     }
 }
 
+bool Follower::adoptStanding(const rpc::FollowReply &reply)
+{
+    if (!reply.has_standing()) {
+        return true;
+    }
+    const auto known = m_parts.view.latest();
+    auto standing = rpc::decode(reply.standing(), known.get(), m_parts.parser);
+    if (!core::ok(standing)) {
+        core::log(core::LogLevel::Error, "standing-refused", {{"error", core::describe(core::error(standing))}});
+        return false;
+    }
+    auto &adopted = core::value(standing);
+    // Before there is any file there is nothing to act on.
+    if (adopted.configuration && (!known || known->revision < adopted.revision)) {
+        m_parts.beforeAdopt(adopted);
+        core::log(
+            core::LogLevel::Info, "standing-adopted", {{"revision", adopted.revision}, {"version", adopted.version}});
+        m_parts.view.adopt(std::move(adopted));
+    }
+    return true;
+}
+
+void Follower::adoptControlHosts(const rpc::FollowReply &reply)
+{
+    if (reply.control_hosts().empty()) {
+        return;
+    }
+    const core::Lock lock(m_mutex);
+    const auto followed = m_controls[m_chosen].address;
+    std::vector<Control> controls;
+    for (const auto &message : reply.control_hosts()) {
+        const auto host = rpc::decode(message);
+        const auto known = std::find_if(m_controls.begin(), m_controls.end(), [&host](const Control &control) {
+            return control.address == host.address;
+        });
+        controls.push_back({host.address,
+                            host.domain,
+                            known == m_controls.end() ? std::make_shared<rpc::ControlClient>(host.address)
+                                                      : known->client});
+    }
+    m_controls = std::move(controls);
+    m_chosen = 0;
+    for (std::size_t position = 0; position < m_controls.size(); ++position) {
+        if (m_controls[position].address == followed) {
+            m_chosen = position;
+        }
+    }
+}
+
+void Follower::preferNear()
+{
+    const auto domain = m_parts.self().domain;
+    const core::Lock lock(m_mutex);
+    if (m_parts.timers.now() < m_stayUntil || m_controls[m_chosen].domain == domain) {
+        return;
+    }
+    for (std::size_t position = 0; position < m_controls.size(); ++position) {
+        if (m_controls[position].domain == domain) {
+            m_chosen = position;
+            return;
+        }
+    }
+}
+
 void Follower::learn(const targets::Target &target)
 {
     if (m_parts.targets.learn(target) != targets::Reception::Reasserted) {
@@ -233,11 +316,13 @@
 
 void Follower::moveOn()
 {
-    {
-        const core::Lock lock(m_mutex);
-        m_lastConfirmed = m_parts.timers.now();
-    }
-    m_chosen = (m_chosen + 1) % m_clients.size();
+    const core::Lock lock(m_mutex);
+    m_lastConfirmed = m_parts.timers.now();
+    m_stayUntil = m_lastConfirmed + StayAfterFailure;
+    // Its connection may be silent for good.
+    auto &left = m_controls[m_chosen];
+    left.client = std::make_shared<rpc::ControlClient>(left.address);
+    m_chosen = (m_chosen + 1) % m_controls.size();
 }
 
 void Follower::later(core::Duration delay, void (Follower::*step)())
@@ -253,7 +338,8 @@
 
 std::shared_ptr<rpc::ControlClient> Follower::client() const
 {
-    return m_clients[m_chosen];
+    const core::Lock lock(m_mutex);
+    return m_controls[m_chosen].client;
 }
 
 } // namespace pimentoshed::entry
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -34,6 +34,11 @@
         View &view;
         targets::TargetTable &targets;
         std::function<membership::EntryHost()> self;
+        configuration::FileParser parser;
+        /** Takes each new standing before the view shows it. */
+        std::function<void(const changes::Standing &)> beforeAdopt;
+        /** Called after each reply was taken. */
+        std::function<void()> afterReply;
         /** Hears of each message with its encoded bytes. */
         std::function<void(telemetry::ControlMessage, telemetry::Direction, std::size_t)> traffic;
     };
@@ -43,12 +48,25 @@
     void start();
     void stop();
 
+    /** Asks again at once, to pass on what this host says of itself. */
+    void tell();
+
     /** Passes @p target's word on to the control hosts. */
     void report(const targets::Target &target);
 
 private:
+    struct Control {
+        std::string address;
+        core::FailureDomain domain;
+        std::shared_ptr<rpc::ControlClient> client;
+    };
+
     void ask();
+    rpc::FollowRequest question() const;
     std::uint64_t noteAsked();
+    void adoptControlHosts(const rpc::FollowReply &reply);
+    /** Moves to a control host of the own failure domain where there is one that answers. */
+    void preferNear();
     void take(const core::Result<rpc::FollowReply> &reply);
     void adopt(const rpc::FollowReply &reply);
     void learn(const targets::Target &target);
@@ -60,16 +78,20 @@
     void sendReports();
     void reportEnded(const std::vector<targets::Target> &sent, bool arrived);
     void moveOn();
+    bool adoptStanding(const rpc::FollowReply &reply);
     void later(core::Duration delay, void (Follower::*step)());
     std::shared_ptr<rpc::ControlClient> client() const;
 
     const Parts m_parts;
-    std::vector<std::shared_ptr<rpc::ControlClient>> m_clients;
-    std::atomic<std::size_t> m_chosen{0};
     std::atomic<bool> m_stopped{false};
     std::atomic<std::uint64_t> m_feedId{0};
     std::atomic<std::uint64_t> m_feedPosition{0};
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
+    /** Never empty. */
+    std::vector<Control> m_controls;
+    std::size_t m_chosen = 0;
+    /** Until then no other control host is preferred over the one followed. */
+    core::TimePoint m_stayUntil{};
     /** When each call that is not yet confirmed was made. */
     std::map<std::uint64_t, core::TimePoint> m_asked;
     std::uint64_t m_lastAsk = 0;
--- a/src/entry/retry.cpp
+++ b/src/entry/retry.cpp
@@ -1,47 +1,49 @@
 #include "entry/retry.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace pimentoshed::entry
 {
 
-namespace
+bool mayRunAgain(const RetryCase &failed)
 {
+    const bool harmless = failed.idempotent || failed.run == requests::RunState::NotRun;
+    return harmless && failed.attempts < failed.mostAttempts && failed.left > core::Duration{};
+}
 
-constexpr unsigned MostAttempts = 3;
-/** Retries that a service has in hand at the start, and at most. */
-constexpr double MostTokens = 10;
-
-} // namespace
+RetryBudgets::RetryBudgets(std::function<double()> most)
+    : m_most(std::move(most))
+{
+}
 
-bool mayRunAgain(const RetryCase &failed)
+void RetryBudgets::earn(const configuration::Service &service)
 {
-    const bool harmless = failed.idempotent || failed.run == requests::RunState::NotRun;
-    return harmless && failed.attempts < MostAttempts && failed.left > core::Duration{};
+    budgetOf(service).noteFirstTry();
 }
 
-void RetryBudget::earn(const configuration::Service &service)
+bool RetryBudgets::spend(const configuration::Service &service)
 {
-    const core::Lock lock(m_mutex);
-    auto &tokens = m_tokens.try_emplace(service.name, MostTokens).first->second;
-    tokens = std::min(MostTokens, tokens + service.retryRatio);
+    return budgetOf(service).take();
 }
 
-bool RetryBudget::spend(const configuration::Service &service)
+requests::RetryBudget &RetryBudgets::budgetOf(const configuration::Service &service)
 {
     const core::Lock lock(m_mutex);
-    auto &tokens = m_tokens.try_emplace(service.name, MostTokens).first->second;
-    if (tokens < 1) {
-        return false;
+    auto &budget = m_budgets[service.name];
+    if (!budget) {
+        budget = std::make_unique<requests::RetryBudget>(service.retryRatio);
+    }
+    budget->configure(service.retryRatio);
+    if (m_most) {
+        budget->limitTo(m_most());
     }
-    tokens -= 1;
-    return true;
+    return *budget;
 }
 
-RetryHook retryWithin(RetryBudget &budget)
+RetryHook retryWithin(RetryBudgets &budgets)
 {
-    return [&budget](const RetryCase &failed) {
-        return mayRunAgain(failed) && budget.spend(failed.service);
+    return [&budgets](const RetryCase &failed) {
+        return mayRunAgain(failed) && budgets.spend(failed.service);
     };
 }
 
--- a/src/entry/retry.h
+++ b/src/entry/retry.h
@@ -8,8 +8,10 @@
 #include "core/rankedmutex.h"
 #include "core/time.h"
 #include "requests/outcome.h"
+#include "requests/retrybudget.h"
 
 #include <functional>
+#include <memory>
 #include <unordered_map>
 
 namespace pimentoshed::entry
@@ -21,7 +23,10 @@
     bool idempotent = false;
     /** What is known of the attempts so far, taken together. */
     requests::RunState run = requests::RunState::Unknown;
+    /** Attempts that reached a target. */
     unsigned attempts = 1;
+    /** Those that the request's route allows. */
+    unsigned mostAttempts = 3;
     /** Time before the request's deadline. */
     core::Duration left{};
 };
@@ -32,10 +37,13 @@
 /** Whether another attempt can do no harm and is in time. */
 bool mayRunAgain(const RetryCase &failed);
 
-/** Retries as a share of first attempts, per service. Thread-safe; rank Requests. */
-class RetryBudget
+/** The retries of each service as a share of its first attempts. Thread-safe; rank Requests. */
+class RetryBudgets
 {
 public:
+    /** @p most says how many retries a service may have in hand; without it, what its ratio alone allows. */
+    explicit RetryBudgets(std::function<double()> most = nullptr);
+
     /** Takes a first attempt, which earns the service its retry ratio. */
     void earn(const configuration::Service &service);
 
@@ -43,11 +51,14 @@
     bool spend(const configuration::Service &service);
 
 private:
-    core::RankedMutex m_mutex{core::LockRank::Requests};
-    std::unordered_map<core::ServiceName, double> m_tokens;
+    requests::RetryBudget &budgetOf(const configuration::Service &service);
+
+    const std::function<double()> m_most;
+    core::RankedMutex m_mutex{core::LockRank::Admission};
+    std::unordered_map<core::ServiceName, std::unique_ptr<requests::RetryBudget>> m_budgets;
 };
 
-/** Up to two further attempts within @p budget, which must outlive the hook. */
-RetryHook retryWithin(RetryBudget &budget);
+/** Further attempts within @p budgets, which must outlive the hook. */
+RetryHook retryWithin(RetryBudgets &budgets);
 
 } // namespace pimentoshed::entry
--- a/src/entry/view.cpp
+++ b/src/entry/view.cpp
@@ -32,12 +32,26 @@
 core::Result<std::shared_ptr<const changes::Standing>> View::current(core::TimePoint now) const
 {
     const core::Lock lock(m_mutex);
-    if (!m_standing || !m_permission.holds(now, m_standing->configuration->limits.permission)) {
+    const bool current = m_standing && isCurrentWithLock(now);
+    const bool serves =
+        m_standing && m_standing->configuration->limits.whenStale == configuration::WhenStale::Serve;
+    if (!current && !serves) {
         return core::Error{core::ErrorCode::NotCurrent, {}};
     }
     return m_standing;
 }
 
+bool View::isCurrent(core::TimePoint now) const
+{
+    const core::Lock lock(m_mutex);
+    return m_standing && isCurrentWithLock(now);
+}
+
+bool View::isCurrentWithLock(core::TimePoint now) const
+{
+    return m_permission.holds(now, m_standing->configuration->limits.permission);
+}
+
 std::shared_ptr<const changes::Standing> View::latest() const
 {
     const core::Lock lock(m_mutex);
--- a/src/entry/view.h
+++ b/src/entry/view.h
@@ -27,7 +27,10 @@
 
     void setHosts(std::vector<membership::EntryHost> hosts);
 
-    /** What may be acted on at @p now. Error: NotCurrent. */
+    /** Whether what is known is known to be current. */
+    bool isCurrent(core::TimePoint now) const;
+
+    /** What may be acted on at @p now, by the configuration's own rule for hosts out of touch. Error: NotCurrent. */
     core::Result<std::shared_ptr<const changes::Standing>> current(core::TimePoint now) const;
 
     /** What is known, current or not; nullptr at first. */
@@ -37,6 +40,8 @@
     std::vector<membership::EntryHost> hosts() const;
 
 private:
+    bool isCurrentWithLock(core::TimePoint now) const;
+
     mutable core::RankedMutex m_mutex{core::LockRank::Configuration};
     std::shared_ptr<const changes::Standing> m_standing;
     membership::Permission m_permission;
--- a/src/http/answerwriter.cpp
+++ b/src/http/answerwriter.cpp
@@ -72,6 +72,11 @@
     return m_held.size() >= FlushBytes;
 }
 
+std::size_t AnswerWriter::size() const
+{
+    return m_held.size();
+}
+
 bool AnswerWriter::empty() const
 {
     return m_held.empty();
--- a/src/http/answerwriter.h
+++ b/src/http/answerwriter.h
@@ -39,6 +39,7 @@
 
     /** Whether enough is held that it should go out before more is taken. */
     bool full() const;
+    std::size_t size() const;
     bool empty() const;
     /** Whether anything was given to the operating system. */
     bool started() const;
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -43,6 +43,8 @@
 Attempt::Attempt(Exchange &exchange, const RelayTerms &terms, std::unique_ptr<TargetConnection> connection)
     : m_exchange(exchange)
     , m_terms(terms)
+    , m_ownMarking(terms.marking == nullptr ? ownMarking() : Marking())
+    , m_marking(terms.marking == nullptr ? m_ownMarking : *terms.marking)
     , m_connection(std::move(connection))
     , m_caller(exchange.stream())
     , m_yield(exchange.yield())
@@ -131,21 +133,36 @@
     return !m_failure;
 }
 
-std::string Attempt::requestHead() const
+/** The head, and the whole body where it is at hand. */
+std::string Attempt::requestBytes(std::size_t &headBytes)
 {
-    RequestHead head(m_exchange.forwardHead());
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(remaining(m_terms.deadline));
-    head.version(Version11);
-    head.set({DeadlineHeader.data(), DeadlineHeader.size()}, fmt::format("{}", left.count()));
-    return encode(head);
+    m_head = m_exchange.forwardHead();
+    m_head.version(Version11);
+    m_marking.markRequest(m_head, m_terms.target, remaining(m_terms.deadline));
+    auto bytes = encode(m_head);
+    headBytes = bytes.size();
+    const auto &body = m_exchange.body();
+    const auto whole = body.whole();
+    if (body.present() && whole) {
+        if (body.length()) {
+            bytes += *whole;
+        } else if (whole->empty()) {
+            bytes += "0\r\n\r\n";
+        } else {
+            bytes += fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", whole->size(), *whole);
+        }
+        m_uploaded = true;
+    }
+    return bytes;
 }
 
 bool Attempt::sendHead()
 {
-    const auto head = requestHead();
+    std::size_t headBytes = 0;
+    const auto bytes = requestBytes(headBytes);
     boost::system::error_code failure;
-    const auto sent = asio::async_write(m_connection->socket, asio::buffer(head), m_yield[failure]);
-    if (sent == head.size()) {
+    const auto sent = asio::async_write(m_connection->socket, asio::buffer(bytes), m_yield[failure]);
+    if (sent >= headBytes) {
         advance(AttemptStage::HeadSent);
     }
     if (failure) {
@@ -165,7 +182,7 @@
 
 void Attempt::startUpload()
 {
-    if (!m_exchange.body().present()) {
+    if (m_uploaded || !m_exchange.body().present()) {
         m_uploaded = true;
         watchCaller();
         return;
@@ -243,20 +260,75 @@
 
 bool Attempt::readAnswerHead()
 {
-    constexpr unsigned MostInterimHeads = 16;
-    for (unsigned interim = 0; interim <= MostInterimHeads; ++interim) {
+    constexpr unsigned MostOtherHeads = 16;
+    for (unsigned others = 0; others <= MostOtherHeads; ++others) {
         if (!readOneHead()) {
             return false;
         }
-        if (isFinalHead()) {
+        if (isFinalHead() && isForThisRequest()) {
             unwatchCaller();
             return !m_failure;
         }
+        if (m_failure) {
+            return false;
+        }
     }
-    abort(ErrorCode::TargetFailed, "too many interim answers");
+    abort(ErrorCode::TargetFailed, "too many answers that are not this request's");
     return false;
 }
 
+bool Attempt::isForThisRequest()
+{
+    m_signs = m_marking.judge(m_head, m_answer->get());
+    switch (m_signs.kind) {
+    case AnswerKind::Genuine:
+        return true;
+    case AnswerKind::Stray:
+        // It came on this connection before this request's own answer, so that nothing was lost yet.
+        if (!skipAnswer()) {
+            abort(ErrorCode::TargetFailed, "another request's answer does not end");
+        }
+        return false;
+    case AnswerKind::NotRun:
+        turnDown(AttemptStage::Shed, "the target did not run the request");
+        return false;
+    case AnswerKind::Spoiled:
+        abort(ErrorCode::TargetFailed, "the answer is not a genuine one");
+        return false;
+    }
+    return false;
+}
+
+void Attempt::turnDown(requests::AttemptStage stage, std::string reason)
+{
+    advance(stage);
+    if (skipAnswer()) {
+        m_keep = m_answer->keep_alive() && m_connection->buffer.size() == 0;
+    }
+    if (!m_failure && m_keep) {
+        m_failure = core::Error{ErrorCode::TargetFailed, std::move(reason)};
+        m_caller.cancel();
+        return;
+    }
+    abort(ErrorCode::TargetFailed, std::move(reason));
+}
+
+/** Reads the rest of an answer that nobody gets. Whether it ended, so that another can follow. */
+bool Attempt::skipAnswer()
+{
+    constexpr std::uint64_t MostBytes = 65536;
+    std::string piece;
+    std::uint64_t skipped = 0;
+    const bool endsByItself = !m_answer->need_eof();
+    while (!m_failure && !m_answer->is_done() && skipped < MostBytes && endsByItself) {
+        if (!readPiece(piece)) {
+            return false;
+        }
+        skipped += piece.size();
+    }
+    return !m_failure && m_answer->is_done() && endsByItself;
+}
+
 bool Attempt::readOneHead()
 {
     m_answer.emplace();
@@ -295,6 +367,12 @@
         abort(ErrorCode::TargetFailed, "the target shed the request");
         return;
     }
+    constexpr unsigned FirstServerError = 500;
+    m_serverError = m_answer->get().result_int() >= FirstServerError;
+    if (m_serverError && !m_terms.passServerErrors) {
+        turnDown(AttemptStage::AnswerStarted, fmt::format("it answered {}", m_answer->get().result_int()));
+        return;
+    }
     advance(AttemptStage::AnswerStarted);
     if (!m_exchange.body().received()) {
         m_exchange.closeAfterwards();
@@ -311,7 +389,9 @@
         m_keep = m_answer->keep_alive() && m_connection->buffer.size() == 0;
         return;
     }
-    m_exchange.closeAfterwards();
+    if (m_answered || !m_failure) {
+        m_exchange.closeAfterwards();
+    }
     if (!m_failure) {
         m_callerGone = true;
         abort(ErrorCode::CallerTooSlow, "its connection ended");
@@ -326,7 +406,8 @@
     std::string piece;
     while (!m_answer->is_done()) {
         const bool wait = m_connection->buffer.size() == 0;
-        if ((wait || writer.full()) && !writer.flush(m_yield)) {
+        const bool hold = !writer.started() && writer.size() < m_terms.holdBytes;
+        if (!hold && (wait || writer.full()) && !writer.flush(m_yield)) {
             return false;
         }
         if (!readPiece(piece)) {
@@ -361,22 +442,26 @@
         return;
     }
     m_watching = std::make_shared<bool>(true);
-    const auto gone = [this, watching = m_watching](const boost::system::error_code &failure) {
+    awaitCaller();
+}
+
+/** Notices the end of the caller's connection; what it sends meanwhile is kept for its next requests. */
+void Attempt::awaitCaller()
+{
+    const auto heard = [this, watching = m_watching](const boost::system::error_code &failure) {
         if (failure || !*watching) {
             return;
         }
-        *watching = false;
-        boost::system::error_code ended;
-        char byte = 0;
-        m_caller.socket().non_blocking(true, ended);
-        m_caller.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ended);
-        // A pipelined request is no end.
-        if (ended && ended != asio::error::would_block) {
+        const auto state = m_exchange.takeArrived();
+        if (state == ArrivalState::Ended) {
+            *watching = false;
             m_callerGone = true;
             abort(ErrorCode::CallerTooSlow, "it closed its connection");
+        } else if (state == ArrivalState::Open) {
+            awaitCaller();
         }
     };
-    m_caller.socket().async_wait(asio::socket_base::wait_read, asio::bind_executor(m_caller.get_executor(), gone));
+    m_caller.socket().async_wait(asio::socket_base::wait_read, asio::bind_executor(m_caller.get_executor(), heard));
 }
 
 void Attempt::unwatchCaller()
@@ -392,7 +477,10 @@
     RelayResult result;
     result.stage = m_stage;
     result.waited = m_waited;
-    result.outcome = {requests::provenRun(m_stage, m_terms.shedIsNotRun), m_failure};
+    const bool shedProves = m_terms.shedIsNotRun || m_signs.kind == AnswerKind::NotRun;
+    result.outcome = {requests::provenRun(m_stage, shedProves), m_failure};
+    result.load = m_signs.load;
+    result.serverError = m_serverError;
     result.answered = m_answered;
     result.bodyTaken = !m_exchange.body().repeatable();
     result.callerGone = m_callerGone;
--- a/src/http/attempt.h
+++ b/src/http/attempt.h
@@ -43,7 +43,7 @@
     void advance(requests::AttemptStage stage);
 
     bool connect();
-    std::string requestHead() const;
+    std::string requestBytes(std::size_t &headBytes);
     bool sendHead();
     bool sendToTarget(const Yield &yield, const std::string &bytes);
     void startUpload();
@@ -54,16 +54,27 @@
     bool readAnswerHead();
     bool readOneHead();
     bool isFinalHead();
+    /** Whether the answer whose head was read is this request's; reads another one to its end. */
+    bool isForThisRequest();
+    /** Ends the attempt by an answer that the caller doesn't get. */
+    void turnDown(requests::AttemptStage stage, std::string reason);
+    bool skipAnswer();
     void passAnswer();
     bool passBody(AnswerWriter &writer);
     bool readPiece(std::string &piece);
 
     void watchCaller();
+    void awaitCaller();
     void unwatchCaller();
     RelayResult settle();
 
     Exchange &m_exchange;
     const RelayTerms &m_terms;
+    const Marking m_ownMarking;
+    const Marking &m_marking;
+    /** As it was sent. */
+    RequestHead m_head;
+    AnswerSigns m_signs;
     std::unique_ptr<TargetConnection> m_connection;
     boost::beast::tcp_stream &m_caller;
     Yield &m_yield;
@@ -85,6 +96,7 @@
     bool m_callerGone = false;
     bool m_stale = false;
     bool m_keep = false;
+    bool m_serverError = false;
 };
 
 } // namespace pimentoshed::http
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr std::size_t IdlePerAddress = 64;
+/** Servers close idle connections after whole seconds as a rule. */
+constexpr auto FreshIdle = std::chrono::milliseconds(900);
 
 /** Whether nothing, not even the end, has come from the other side. */
 bool isQuiet(boost::asio::ip::tcp::socket &socket)
@@ -28,10 +30,20 @@
 }
 
 std::unique_ptr<TargetConnection> ConnectionPool::take(const std::string &address)
+{
+    return takeIdleSince(address, core::TimePoint::min());
+}
+
+std::unique_ptr<TargetConnection> ConnectionPool::takeFresh(const std::string &address, core::TimePoint now)
+{
+    return takeIdleSince(address, now - FreshIdle);
+}
+
+std::unique_ptr<TargetConnection> ConnectionPool::takeIdleSince(const std::string &address, core::TimePoint since)
 {
     const core::Lock lock(m_mutex);
     auto &idle = m_idle[address];
-    while (!idle.empty()) {
+    while (!idle.empty() && idle.back()->idleSince >= since) {
         auto connection = std::move(idle.back());
         idle.pop_back();
         if (isQuiet(connection->socket)) {
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -42,6 +42,9 @@
     /** An idle connection to @p address that the target has not closed, or a new one that is not yet connected. */
     std::unique_ptr<TargetConnection> take(const std::string &address);
 
+    /** As take(), but for connections that have been idle for so short that their target can't have dropped them. */
+    std::unique_ptr<TargetConnection> takeFresh(const std::string &address, core::TimePoint now);
+
     /** A connection that is not yet connected. */
     std::unique_ptr<TargetConnection> make();
 
@@ -54,6 +57,8 @@
     std::size_t idleCount() const;
 
 private:
+    std::unique_ptr<TargetConnection> takeIdleSince(const std::string &address, core::TimePoint since);
+
     boost::asio::io_context &m_context;
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
     std::unordered_map<std::string, std::vector<std::unique_ptr<TargetConnection>>> m_idle;
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -114,6 +114,21 @@
     return body;
 }
 
+ArrivalState Exchange::takeArrived()
+{
+    constexpr std::size_t MostBytes = 65536;
+    constexpr std::size_t PieceBytes = 4096;
+    beast::error_code failure;
+    m_stream.socket().non_blocking(true, failure);
+    while (!failure) {
+        if (m_buffer.size() >= MostBytes) {
+            return ArrivalState::Full;
+        }
+        m_buffer.commit(m_stream.socket().receive(m_buffer.prepare(PieceBytes), 0, failure));
+    }
+    return failure == boost::asio::error::would_block ? ArrivalState::Open : ArrivalState::Ended;
+}
+
 void Exchange::send(const Reply &reply)
 {
     AnswerHead head;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -35,6 +35,15 @@
     std::string body;
 };
 
+/** What has become of a caller's connection while its request was under way. */
+enum class ArrivalState : std::uint8_t {
+    Open,
+    /** The caller has closed its connection, or its sending half. */
+    Ended,
+    /** So much has arrived that no more is taken. */
+    Full,
+};
+
 /** Used by one handler within its coroutine. */
 class Exchange
 {
@@ -59,6 +68,9 @@
     /** The whole body. Errors: RequestTooLarge, RequestMalformed. */
     core::Result<std::string> readBody(std::uint64_t limit);
 
+    /** Takes what has arrived behind a request that was received whole, without waiting. */
+    ArrivalState takeArrived();
+
     /** Writes @p reply whole. */
     void send(const Reply &reply);
 
--- /dev/null
+++ b/src/http/marking.cpp
@@ -0,0 +1,92 @@
+#include "http/marking.h"
+
+#include "http/json.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace pimentoshed::http
+{
+
+using boost::beast::http::status;
+using core::ErrorCode;
+
+namespace
+{
+
+core::Result<std::optional<core::Duration>> timeGiven(const Exchange &exchange)
+{
+    const auto asked = exchange.header(DeadlineHeader);
+    if (asked.empty()) {
+        return std::optional<core::Duration>();
+    }
+    std::uint32_t millis = 0;
+    const auto [end, code] = std::from_chars(asked.data(), asked.data() + asked.size(), millis);
+    if (code != std::errc() || end != asked.data() + asked.size()) {
+        return core::Error{ErrorCode::RequestMalformed, std::string(DeadlineHeader)};
+    }
+    return std::optional<core::Duration>(std::chrono::milliseconds(millis));
+}
+
+void markRequest(RequestHead &head, const core::TargetId &, core::Duration left)
+{
+    const auto millis = std::chrono::ceil<std::chrono::milliseconds>(left);
+    head.set({DeadlineHeader.data(), DeadlineHeader.size()}, fmt::format("{}", millis.count()));
+}
+
+status statusOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::NoSuchService:
+        return status::not_found;
+    case ErrorCode::RequestMalformed:
+    case ErrorCode::RequestKeyMissing:
+        return status::bad_request;
+    case ErrorCode::RequestTooLarge:
+        return status::payload_too_large;
+    case ErrorCode::CallerTooSlow:
+        return status::request_timeout;
+    case ErrorCode::DeadlinePassed:
+        return status::gateway_timeout;
+    case ErrorCode::TargetFailed:
+    case ErrorCode::AnswerTruncated:
+        return status::bad_gateway;
+    case ErrorCode::RequestKeyUsed:
+        return status::conflict;
+    default:
+        return status::service_unavailable;
+    }
+}
+
+Reply refusal(const RefusalSigns &signs)
+{
+    auto reply = errorReply(statusOf(signs.outcome.failure->code), *signs.outcome.failure);
+    reply.headers.emplace_back(RunHeader, core::nameOf(requests::RunStateNames, signs.outcome.run));
+    return reply;
+}
+
+} // namespace
+
+Marking ownMarking()
+{
+    return {[](const Exchange &) {
+                return std::string();
+            },
+            timeGiven,
+            markRequest,
+            [](const RequestHead &, const AnswerHead &) {
+                return AnswerSigns{};
+            },
+            [](const std::string &path, const core::TargetId &) {
+                RequestHead head;
+                head.method(boost::beast::http::verb::get);
+                head.target(path);
+                return head;
+            },
+            [](const AnswerHead &) {
+                return std::nullopt;
+            },
+            refusal};
+}
+
+} // namespace pimentoshed::http
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -19,6 +19,16 @@
 } // namespace
 
 RelayResult relay(Exchange &exchange, ConnectionPool &pool, const RelayTerms &terms)
+{
+    // Whether an idle connection still stands shows only when it is used: no risk for what must not run twice.
+    auto connection = terms.idempotent ? pool.take(terms.address) : pool.takeFresh(terms.address, core::steadyNow());
+    return relayOn(std::move(connection), exchange, pool, terms);
+}
+
+RelayResult relayOn(std::unique_ptr<TargetConnection> connection,
+                    Exchange &exchange,
+                    ConnectionPool &pool,
+                    const RelayTerms &terms)
 {
     const auto length = exchange.body().length();
     if (length && *length > terms.maxRequestBytes) {
@@ -26,7 +36,7 @@
         refused.outcome = {requests::RunState::NotRun, core::Error{core::ErrorCode::RequestTooLarge, {}}};
         return refused;
     }
-    Attempt first(exchange, terms, pool.take(terms.address));
+    Attempt first(exchange, terms, std::move(connection));
     auto result = first.run();
     if (first.wasStale() && mayRepeat(result, terms)) {
         exchange.body().rewind();
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -8,6 +8,7 @@
 #include "http/callerpace.h"
 #include "http/connectionpool.h"
 #include "http/exchange.h"
+#include "http/marking.h"
 #include "requests/outcome.h"
 #include "requests/runproof.h"
 
@@ -26,6 +27,13 @@
     bool shedIsNotRun = false;
     /** Whether the request may run more than once. */
     bool idempotent = false;
+    /** Whether an answer with a server's error goes to the caller; else the attempt has failed. */
+    bool passServerErrors = true;
+    /** Bytes of an answer that are held back until it is whole, so that a broken one can be replaced. */
+    std::size_t holdBytes = 0;
+    core::TargetId target;
+    /** Must outlive the relay. */
+    const Marking *marking = nullptr;
     PaceLimits pace;
 };
 
@@ -39,6 +47,9 @@
     bool bodyTaken = false;
     /** Whether the caller closed its connection or was too slow, so that nobody waits for an answer. */
     bool callerGone = false;
+    /** What the target said of its load, and of its health by the answer's status. */
+    std::optional<routing::LoadReport> load;
+    bool serverError = false;
     /** From the end of the request until the first of the answer. */
     core::Duration waited{};
 };
@@ -49,4 +60,10 @@
  */
 RelayResult relay(Exchange &exchange, ConnectionPool &pool, const RelayTerms &terms);
 
+/** As relay(), first on @p connection, on which the target has just answered something else. */
+RelayResult relayOn(std::unique_ptr<TargetConnection> connection,
+                    Exchange &exchange,
+                    ConnectionPool &pool,
+                    const RelayTerms &terms);
+
 } // namespace pimentoshed::http
--- a/src/http/requestbody.cpp
+++ b/src/http/requestbody.cpp
@@ -80,6 +80,26 @@
     return std::string_view();
 }
 
+core::Status RequestBody::prefetch(const Yield &yield)
+{
+    if (!m_length || *m_length > KeptBytes) {
+        return std::monostate{};
+    }
+    while (!received()) {
+        const auto piece = next(yield);
+        if (!core::ok(piece)) {
+            return core::error(piece);
+        }
+    }
+    rewind();
+    return std::monostate{};
+}
+
+std::optional<std::string_view> RequestBody::whole() const
+{
+    return m_repeatable && received() ? std::optional<std::string_view>(m_kept) : std::nullopt;
+}
+
 bool RequestBody::repeatable() const
 {
     return m_repeatable;
--- a/src/http/requestbody.h
+++ b/src/http/requestbody.h
@@ -40,6 +40,12 @@
     /** The next piece, valid until the next call; empty only at the end. Error: RequestMalformed. */
     core::Result<std::string_view> next(const Yield &yield);
 
+    /** Reads a body whose declared length can be kept, so that it can be sent at once. Error: RequestMalformed. */
+    core::Status prefetch(const Yield &yield);
+
+    /** All of the body, where it was received and kept. */
+    std::optional<std::string_view> whole() const;
+
     /** Whether rewind() would work. */
     bool repeatable() const;
     /** Starts again at the first byte. Only where repeatable. */
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.h"
+#include "platform/commands.h"
 
 int main(int argc, char **argv)
 {
-    return pimentoshed::cli::run(argc, argv);
+    return pimentoshed::cli::run(argc, argv, pimentoshed::platform::addCommands);
 }
--- a/src/membership/hosts.cpp
+++ b/src/membership/hosts.cpp
@@ -32,6 +32,26 @@
 
 } // namespace
 
+std::vector<std::string> nearestAddresses(const std::vector<EntryHost> &hosts,
+                                          const core::FailureDomain &preferred,
+                                          std::size_t least,
+                                          std::size_t count)
+{
+    std::vector<const EntryHost *> near;
+    std::vector<const EntryHost *> all;
+    for (const auto &host : hosts) {
+        if (!host.stopping) {
+            all.push_back(&host);
+            if (host.domain == preferred) {
+                near.push_back(&host);
+            }
+        }
+    }
+    auto &chosen = near.size() < std::min(least, all.size()) ? all : near;
+    chosen.resize(std::min(chosen.size(), count));
+    return addresses(chosen);
+}
+
 std::vector<std::string> chooseAddresses(const std::vector<EntryHost> &hosts,
                                          const std::vector<core::FailureDomain> &outDomains,
                                          const core::FailureDomain &preferred,
--- a/src/membership/hosts.h
+++ b/src/membership/hosts.h
@@ -28,6 +28,25 @@
     bool operator==(const EntryHost &) const = default;
 };
 
+/** A control host as the others reach it. */
+struct ControlHost {
+    core::HostId id;
+    /** Where it takes the calls of other hosts, as IP:PORT. */
+    std::string address;
+    core::FailureDomain domain;
+
+    bool operator==(const ControlHost &) const = default;
+};
+
+/**
+ * The addresses of up to @p count hosts that are not stopping, all of @p preferred; of every domain where that has
+ * fewer than @p least, so that callers outlive the loss of one.
+ */
+std::vector<std::string> nearestAddresses(const std::vector<EntryHost> &hosts,
+                                          const core::FailureDomain &preferred,
+                                          std::size_t least,
+                                          std::size_t count);
+
 /**
  * Up to @p count addresses in the order a caller should try them, from hosts that are neither stopping nor in a domain
  * of @p outDomains. Hosts of @p preferred come first, but one of another domain is among them where there is one, so
--- a/src/membership/hub.cpp
+++ b/src/membership/hub.cpp
@@ -83,6 +83,12 @@
     return news;
 }
 
+void Hub::touchHosts()
+{
+    const core::Lock lock(m_mutex);
+    noteHostsChanged();
+}
+
 std::uint64_t Hub::position() const
 {
     const core::Lock lock(m_mutex);
--- a/src/membership/hub.h
+++ b/src/membership/hub.h
@@ -59,6 +59,9 @@
     /** What came after @p position; 0 asks for everything. */
     FeedNews newsSince(std::uint64_t position, Audience audience) const;
 
+    /** Notes that what is told of hosts beside this hub's own has changed. */
+    void touchHosts();
+
     std::uint64_t position() const;
     /** Every entry host that is heard, here or at another control host. */
     std::vector<EntryHost> hosts() const;
--- a/src/requests/retrybudget.cpp
+++ b/src/requests/retrybudget.cpp
@@ -27,6 +27,13 @@
     m_balance = std::min(m_balance, bound());
 }
 
+void RetryBudget::limitTo(double most)
+{
+    const core::Lock lock(m_mutex);
+    m_most = most;
+    m_balance = std::min(m_balance, bound());
+}
+
 void RetryBudget::noteFirstTry()
 {
     const core::Lock lock(m_mutex);
@@ -51,6 +58,9 @@
 
 double RetryBudget::bound() const
 {
+    if (m_most) {
+        return m_ratio > 0 ? std::max(1.0, *m_most) : 0;
+    }
     return m_ratio > 0 ? std::max(1.0, FirstTriesKept * m_ratio) : 0;
 }
 
--- a/src/requests/retrybudget.h
+++ b/src/requests/retrybudget.h
@@ -6,6 +6,8 @@
 
 #include "core/rankedmutex.h"
 
+#include <optional>
+
 namespace pimentoshed::requests
 {
 
@@ -22,6 +24,9 @@
     /** Takes a new ratio; what is saved stays within its bound. */
     void configure(double ratio);
 
+    /** Keeps the balance within @p most from now on, in place of what the ratio alone allows. */
+    void limitTo(double most);
+
     void noteFirstTry();
 
     /** Whether a repeat is paid for. */
@@ -36,6 +41,7 @@
     core::RankedMutex m_mutex{core::LockRank::Requests};
     double m_ratio;
     double m_balance = 0;
+    std::optional<double> m_most;
 };
 
 } // namespace pimentoshed::requests
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -6,6 +6,7 @@
 
 #include "core/enumtable.h"
 #include "core/time.h"
+#include "routing/loadreport.h"
 
 #include <array>
 #include <cstdint>
@@ -34,8 +35,8 @@
 struct AttemptEnd {
     AttemptOutcome outcome = AttemptOutcome::Answered;
     core::Duration latency{};
-    /** The target's own word on its requests in progress, where its answer carried one. */
-    std::optional<unsigned> reportedLoad;
+    /** The target's own word on its load, where its answer carried one. */
+    std::optional<LoadReport> report;
 };
 
 } // namespace pimentoshed::routing
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -91,6 +91,19 @@
     });
 }
 
+/**
+ * Crossing to another failure domain costs bytes and a little time, so a near target goes first as long as it meets the
+ * objective; what no near target can do in time is worth the way.
+ */
+Position pickNearInTime(std::span<const Candidate> candidates, const core::RandomSource &random)
+{
+    constexpr double WorseClass = 1e15;
+    return pickCheapest(candidates, random, [](const Candidate &candidate) {
+        const int worse = candidate.inTime ? (candidate.near ? 0 : 1) : 2;
+        return worse * WorseClass + static_cast<double>(candidate.expectedTime.count());
+    });
+}
+
 Picker makeRoundRobin()
 {
     const auto next = std::make_shared<std::atomic<std::size_t>>(0);
@@ -118,6 +131,8 @@
         return pickTwoChoices;
     case PickerKind::LeastExpectedTime:
         return pickLeastExpectedTime;
+    case PickerKind::NearInTime:
+        return pickNearInTime;
     }
     return pickRandom;
 }
--- a/src/routing/picker.h
+++ b/src/routing/picker.h
@@ -29,6 +29,10 @@
     bool near = false;
     /** How long this host's requests take at targets as near as this one. */
     core::Duration expectedLatency{};
+    /** How long a request would take there, by what the target said of its load and by what went there since. */
+    core::Duration expectedTime{};
+    /** Whether that is within the request's objective. */
+    bool inTime = true;
 };
 
 /** The position of the chosen candidate, or nothing where none should be used. */
@@ -42,6 +46,8 @@
     TwoChoices,
     /** The default: shortest expected time, from requests in progress and the usual latency near and far. */
     LeastExpectedTime,
+    /** By the targets' own words: the soonest near one that is in time, else the soonest of all that are. */
+    NearInTime,
 };
 
 inline constexpr std::array PickerNames{
@@ -50,6 +56,7 @@
     core::EnumName<PickerKind>{PickerKind::LeastRequests, "least-requests"},
     core::EnumName<PickerKind>{PickerKind::TwoChoices, "two-choices"},
     core::EnumName<PickerKind>{PickerKind::LeastExpectedTime, "least-expected-time"},
+    core::EnumName<PickerKind>{PickerKind::NearInTime, "near-in-time"},
 };
 
 /** The picker of @p kind. One that keeps a position of its own may be called by several threads. */
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -90,6 +90,36 @@
 core::Result<Assignment> Router::assign(const core::ServiceName &service,
                                         core::TimePoint now,
                                         std::span<const core::TargetId> avoid)
+{
+    AssignTerms terms;
+    terms.avoid = avoid;
+    return assign(service, now, terms);
+}
+
+std::vector<std::shared_ptr<const targets::Target>> Router::shortlist(const core::ServiceName &service,
+                                                                      core::TimePoint now,
+                                                                      const AssignTerms &terms,
+                                                                      std::size_t count)
+{
+    const auto guarded = find(service);
+    if (!guarded) {
+        return {};
+    }
+    const core::Lock lock(guarded->mutex);
+    return guarded->router.shortlist(now, terms, count);
+}
+
+void Router::noteReport(const targets::Target &target, const LoadReport &report, core::TimePoint now)
+{
+    if (const auto guarded = find(target.service)) {
+        const core::Lock lock(guarded->mutex);
+        guarded->router.noteReport(target.id, report, now);
+    }
+}
+
+core::Result<Assignment> Router::assign(const core::ServiceName &service,
+                                        core::TimePoint now,
+                                        const AssignTerms &terms)
 {
     const auto guarded = find(service);
     if (!guarded) {
@@ -99,7 +129,7 @@
     if (guarded->retired) {
         return core::Error{core::ErrorCode::NoSuchService, service.str()};
     }
-    return guarded->router.assign(now, avoid);
+    return guarded->router.assign(now, terms);
 }
 
 void Router::release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now)
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -42,6 +42,18 @@
                                     core::TimePoint now,
                                     std::span<const core::TargetId> avoid = {});
 
+    /** As above, on @p terms. */
+    core::Result<Assignment> assign(const core::ServiceName &service, core::TimePoint now, const AssignTerms &terms);
+
+    /** Up to @p count targets that a request could be given, the best first. */
+    std::vector<std::shared_ptr<const targets::Target>> shortlist(const core::ServiceName &service,
+                                                                  core::TimePoint now,
+                                                                  const AssignTerms &terms,
+                                                                  std::size_t count);
+
+    /** Takes what a target says of its load. */
+    void noteReport(const targets::Target &target, const LoadReport &report, core::TimePoint now);
+
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
 
     /** From when on an attempt of @p service counts as late: for hedges and probes. */
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -17,6 +17,12 @@
 constexpr std::size_t MaxCandidates = 64;
 /** Trials in a row that go wrong before a target is taken to have turned cold. */
 constexpr unsigned TrialsUntilCold = 4;
+/** How far one sample moves a moving mean: some forty samples decide. */
+constexpr double EstimateStep = 0.05;
+/** A report of a target's load says nothing any more after this: shared machines change within some 150 ms. */
+constexpr core::Duration ReportMemory = std::chrono::milliseconds(300);
+/** More than this many times its slots are not sent to a target, whose own queue is short. */
+constexpr double MostLoad = 2;
 constexpr core::Duration FailurePause = std::chrono::milliseconds(50);
 
 bool contains(std::span<const core::TargetId> ids, const core::TargetId &id)
@@ -24,6 +30,11 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+bool allows(const AssignTerms &terms, const core::TargetId &id)
+{
+    return !contains(terms.avoid, id) && (terms.among.empty() || contains(terms.among, id));
+}
+
 } // namespace
 
 ServiceRouter::ServiceRouter(configuration::Service service, core::FailureDomain ownDomain, RouterHooks hooks)
@@ -76,13 +87,46 @@
 }
 
 core::Result<Assignment> ServiceRouter::assign(core::TimePoint now, std::span<const core::TargetId> avoid)
+{
+    AssignTerms terms;
+    terms.avoid = avoid;
+    return assign(now, terms);
+}
+
+std::vector<std::shared_ptr<const targets::Target>> ServiceRouter::shortlist(core::TimePoint now,
+                                                                             const AssignTerms &terms,
+                                                                             std::size_t count)
+{
+    std::vector<std::shared_ptr<const targets::Target>> found;
+    gather(now, terms);
+    while (found.size() < count && !m_candidates.empty()) {
+        const auto choice = m_hooks.picker(m_candidates, m_hooks.random);
+        if (!choice) {
+            break;
+        }
+        found.push_back(m_entries[m_candidatePositions[*choice]].target);
+        m_candidates.erase(m_candidates.begin() + static_cast<std::ptrdiff_t>(*choice));
+        m_candidatePositions.erase(m_candidatePositions.begin() + static_cast<std::ptrdiff_t>(*choice));
+    }
+    return found;
+}
+
+void ServiceRouter::noteReport(const core::TargetId &id, const LoadReport &report, core::TimePoint now)
+{
+    const auto found = m_positions.find(id);
+    if (found != m_positions.end()) {
+        takeReport(m_entries[found->second], report, now);
+    }
+}
+
+core::Result<Assignment> ServiceRouter::assign(core::TimePoint now, const AssignTerms &terms)
 {
     ++m_sinceTrial;
-    if (const auto trial = dueTrial(now, avoid)) {
+    if (const auto trial = dueTrial(now, terms)) {
         m_sinceTrial = 0;
         return start(m_entries[*trial], now, true);
     }
-    const auto position = pick(now, avoid);
+    const auto position = pick(now, terms);
     if (!position) {
         return core::Error{core::ErrorCode::NoTarget, m_service.name.str()};
     }
@@ -177,8 +221,8 @@
 
 void ServiceRouter::learn(Entry &entry, const Outstanding &attempt, const AttemptEnd &end, core::TimePoint now)
 {
-    if (end.reportedLoad) {
-        entry.reportedLoad = *end.reportedLoad;
+    if (end.report) {
+        takeReport(entry, *end.report, now);
     }
     if (end.outcome == AttemptOutcome::Cancelled) {
         if (attempt.trial) {
@@ -193,6 +237,9 @@
     const bool good = answered && end.latency <= m_latency.lateAfter();
     if (answered) {
         m_latency.add(end.latency);
+        const double slowness = end.report ? std::max(end.report->slowness, 0.1) : 1;
+        const auto work = static_cast<double>(end.latency.count()) / slowness;
+        m_usualWork = m_usualWork == 0 ? work : m_usualWork + (work - m_usualWork) * EstimateStep;
         (entry.near ? m_nearLatency : m_farLatency).add(end.latency);
     }
     if (!m_hooks.suspects) {
@@ -239,20 +286,88 @@
     if (!entry.serves) {
         return 0;
     }
-    const bool assumedCold = entry.assumedColdUntil && now < *entry.assumedColdUntil;
-    if (entry.target->condition == targets::Condition::Warm && !assumedCold) {
-        return m_service.slots;
+    if (!isCold(entry, now)) {
+        return slots(entry);
+    }
+    if (m_hooks.coldGate && m_service.coldPerSecond > 0) {
+        return m_hooks.coldGate(*entry.target, m_service, now) ? slots(entry) : 0;
     }
     return m_hooks.coldLimit ? std::min(m_hooks.coldLimit(*entry.target, now), m_service.slots) : m_service.coldSlots;
 }
 
+bool ServiceRouter::isCold(const Entry &entry, core::TimePoint now) const
+{
+    const bool assumed = entry.assumedColdUntil && now < *entry.assumedColdUntil;
+    return assumed || entry.target->condition != targets::Condition::Warm;
+}
+
+unsigned ServiceRouter::slots(const Entry &entry) const
+{
+    return entry.target->slots > 0 ? entry.target->slots : m_service.slots;
+}
+
+void ServiceRouter::takeReport(Entry &entry, const LoadReport &report, core::TimePoint now)
+{
+    entry.report = report;
+    entry.reportedAt = now;
+    entry.ownAtReport = entry.outstanding.size();
+    m_usualSlowness += (report.slowness - m_usualSlowness) * EstimateStep;
+    if (report.coldFor > core::Duration{}) {
+        entry.assumedColdUntil = now + report.coldFor;
+    }
+}
+
+double ServiceRouter::estimatedLoad(const Entry &entry, core::TimePoint now) const
+{
+    const auto own = static_cast<double>(entry.outstanding.size());
+    if (!entry.report || now - entry.reportedAt > ReportMemory) {
+        return own;
+    }
+    const double fresh = 1 - core::toSeconds(now - entry.reportedAt) / core::toSeconds(ReportMemory);
+    const double reported = entry.report->running + entry.report->waiting;
+    return own + fresh * std::max(0.0, reported - static_cast<double>(entry.ownAtReport));
+}
+
+core::Duration ServiceRouter::expectedTime(const Entry &entry, core::TimePoint now) const
+{
+    double slowness = m_usualSlowness;
+    if (entry.report && now - entry.reportedAt < ReportMemory) {
+        const double fresh = 1 - core::toSeconds(now - entry.reportedAt) / core::toSeconds(ReportMemory);
+        slowness += fresh * (entry.report->slowness - m_usualSlowness);
+    }
+    const double load = estimatedLoad(entry, now);
+    const double room = slots(entry);
+    // Work before it, in units of the target's whole capacity, and its own.
+    const double turns = 1 + std::max(0.0, load + 1 - room) / room;
+    // Equal targets differ a little by their load, so that work spreads before any is full.
+    const double spread = 1 + 0.1 * load / room;
+    return core::Duration(static_cast<std::int64_t>(m_usualWork * slowness * turns * spread));
+}
+
+Candidate ServiceRouter::candidate(const Entry &entry,
+                                   unsigned most,
+                                   const AssignTerms &terms,
+                                   core::TimePoint now) const
+{
+    Candidate found;
+    found.inFlight = static_cast<unsigned>(entry.outstanding.size());
+    found.limit = most;
+    found.reportedLoad = entry.report ? entry.report->running + entry.report->waiting : 0;
+    found.near = entry.near;
+    found.expectedLatency = expectedLatency(entry);
+    found.expectedTime = expectedTime(entry, now);
+    const bool ill = entry.report && !entry.report->healthy && now - entry.reportedAt < ReportMemory;
+    found.inTime = !ill && (terms.objective == core::Duration{} || found.expectedTime <= terms.objective);
+    return found;
+}
+
 core::Duration ServiceRouter::expectedLatency(const Entry &entry) const
 {
     const auto &own = entry.near ? m_nearLatency : m_farLatency;
     return own.known() ? own.mean() : m_latency.mean();
 }
 
-std::optional<std::size_t> ServiceRouter::dueTrial(core::TimePoint now, std::span<const core::TargetId> avoid)
+std::optional<std::size_t> ServiceRouter::dueTrial(core::TimePoint now, const AssignTerms &terms)
 {
     if (m_suspects == 0 || m_sinceTrial < AssignmentsPerTrial) {
         return std::nullopt;
@@ -262,16 +377,16 @@
         const auto position = (first + step) % m_entries.size();
         const auto &entry = m_entries[position];
         if (entry.suspicion.trialDue(now) && entry.outstanding.size() < limit(entry, now)
-            && !contains(avoid, entry.target->id)) {
+            && allows(terms, entry.target->id)) {
             return position;
         }
     }
     return std::nullopt;
 }
 
-std::optional<std::size_t> ServiceRouter::pick(core::TimePoint now, std::span<const core::TargetId> avoid)
+std::optional<std::size_t> ServiceRouter::pick(core::TimePoint now, const AssignTerms &terms)
 {
-    gather(now, avoid);
+    gather(now, terms);
     if (m_candidates.empty()) {
         return std::nullopt;
     }
@@ -280,7 +395,7 @@
 }
 
 /** Collects trusted targets with room, starting at random; suspects only where no trusted one has any. */
-void ServiceRouter::gather(core::TimePoint now, std::span<const core::TargetId> avoid)
+void ServiceRouter::gather(core::TimePoint now, const AssignTerms &terms)
 {
     m_candidates.clear();
     m_candidatePositions.clear();
@@ -296,8 +411,9 @@
             const auto inFlight = static_cast<unsigned>(entry.outstanding.size());
             const bool usable = entry.serves && !entry.held && entry.suspicion.suspect() == suspects;
             const unsigned most = usable ? limit(entry, now) : 0;
-            if (inFlight < most && !contains(avoid, entry.target->id)) {
-                m_candidates.push_back({inFlight, most, entry.reportedLoad, entry.near, expectedLatency(entry)});
+            const bool room = inFlight < most && estimatedLoad(entry, now) < MostLoad * most;
+            if (room && allows(terms, entry.target->id)) {
+                m_candidates.push_back(candidate(entry, most, terms, now));
                 m_candidatePositions.push_back(position);
             }
         }
@@ -312,6 +428,9 @@
     if (trial) {
         entry.suspicion.startTrial();
     }
+    if (m_hooks.coldStart && isCold(entry, now)) {
+        m_hooks.coldStart(*entry.target, m_service, now);
+    }
     const auto attempt = m_nextAttempt++;
     entry.outstanding.push_back({attempt, now, trial});
     return {entry.target, attempt};
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -27,6 +27,11 @@
 /** Requests that this host may have at a cold target at once. */
 using ColdLimit = std::function<unsigned(const targets::Target &, core::TimePoint)>;
 
+/** Whether a cold target may be given a request now; only asked where its service bounds them by the second. */
+using ColdGate = std::function<bool(const targets::Target &, const configuration::Service &, core::TimePoint)>;
+/** Hears of each request that a cold target was given. */
+using ColdStart = std::function<void(const targets::Target &, const configuration::Service &, core::TimePoint)>;
+
 /** Takes the end of a request, and from when on requests are late. */
 using EndHook =
     std::function<void(const targets::Target &, const AttemptEnd &, core::Duration lateAfter, core::TimePoint)>;
@@ -40,6 +45,18 @@
     EndHook onEnd;
     /** Whether late and failing targets lose work; the baselines run without. */
     bool suspects = true;
+    ColdGate coldGate;
+    ColdStart coldStart;
+};
+
+/** What one request asks of its target. */
+struct AssignTerms {
+    /** Targets that it must not be. */
+    std::span<const core::TargetId> avoid;
+    /** Where not empty: the only ones that it may be. */
+    std::span<const core::TargetId> among;
+    /** Within this the request should be answered; zero where nothing is said. */
+    core::Duration objective{};
 };
 
 /** A request that was given to a target. Ends with one release. */
@@ -76,9 +93,18 @@
 
     void setOutDomains(std::span<const core::FailureDomain> outDomains);
 
-    /** Gives a request to a target that is not one of @p avoid. Error: NoTarget. */
+    /** Gives a request to a target. Error: NoTarget. */
+    core::Result<Assignment> assign(core::TimePoint now, const AssignTerms &terms);
     core::Result<Assignment> assign(core::TimePoint now, std::span<const core::TargetId> avoid = {});
 
+    /** Up to @p count targets that a request could be given, the best first. */
+    std::vector<std::shared_ptr<const targets::Target>> shortlist(core::TimePoint now,
+                                                                  const AssignTerms &terms,
+                                                                  std::size_t count);
+
+    /** Takes what a target says of its load. */
+    void noteReport(const core::TargetId &id, const LoadReport &report, core::TimePoint now);
+
     /** Ends an assignment. One that was released before is ignored. */
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
 
@@ -98,7 +124,10 @@
         /** In order of start. */
         std::vector<Outstanding> outstanding;
         Suspicion suspicion;
-        unsigned reportedLoad = 0;
+        std::optional<LoadReport> report;
+        core::TimePoint reportedAt{};
+        /** This host's own requests there when the report came. */
+        std::size_t ownAtReport = 0;
         bool serves = false;
         bool near = false;
         bool held = false;
@@ -114,10 +143,17 @@
     void failTrial(Entry &entry, core::TimePoint now);
     void trust(Entry &entry);
     unsigned limit(const Entry &entry, core::TimePoint now) const;
+    bool isCold(const Entry &entry, core::TimePoint now) const;
+    unsigned slots(const Entry &entry) const;
     core::Duration expectedLatency(const Entry &entry) const;
-    std::optional<std::size_t> dueTrial(core::TimePoint now, std::span<const core::TargetId> avoid);
-    std::optional<std::size_t> pick(core::TimePoint now, std::span<const core::TargetId> avoid);
-    void gather(core::TimePoint now, std::span<const core::TargetId> avoid);
+    void takeReport(Entry &entry, const LoadReport &report, core::TimePoint now);
+    /** Requests that the target has now, of all hosts, as far as can be told. */
+    double estimatedLoad(const Entry &entry, core::TimePoint now) const;
+    core::Duration expectedTime(const Entry &entry, core::TimePoint now) const;
+    Candidate candidate(const Entry &entry, unsigned most, const AssignTerms &terms, core::TimePoint now) const;
+    std::optional<std::size_t> dueTrial(core::TimePoint now, const AssignTerms &terms);
+    std::optional<std::size_t> pick(core::TimePoint now, const AssignTerms &terms);
+    void gather(core::TimePoint now, const AssignTerms &terms);
     Assignment start(Entry &entry, core::TimePoint now, bool trial);
     void erase(std::size_t position);
     void recount();
@@ -131,6 +167,9 @@
     LatencyEstimate m_latency;
     LatencyEstimate m_nearLatency;
     LatencyEstimate m_farLatency;
+    /** Of work at a target of usual speed with room, in nanoseconds. */
+    double m_usualWork = 0;
+    double m_usualSlowness = 1;
     std::uint64_t m_nextAttempt = 1;
     std::size_t m_serving = 0;
     std::size_t m_suspects = 0;
--- a/src/rpc/codec.cpp
+++ b/src/rpc/codec.cpp
@@ -1,7 +1,5 @@
 #include "rpc/codec.h"
 
-#include "configuration/parser.h"
-
 namespace pimentoshed::rpc
 {
 
@@ -36,6 +34,8 @@
     message.set_condition(static_cast<std::uint32_t>(target.condition));
     message.set_lease_epoch(target.word.leaseEpoch);
     message.set_origin(target.origin.str());
+    message.set_slots(target.slots);
+    message.set_withdrawn(target.word.withdrawn);
 }
 
 core::Result<targets::Target> decode(const Target &message)
@@ -49,17 +49,32 @@
     target.service = core::ServiceName(message.service());
     target.domain = core::FailureDomain(message.domain());
     target.address = message.address();
-    target.word = {message.incarnation(), message.sequence(), message.lease_epoch()};
+    target.word = {message.incarnation(), message.sequence(), message.lease_epoch(), message.withdrawn()};
     target.condition = condition;
     target.origin = core::HostId(message.origin());
+    target.slots = message.slots();
     return target;
 }
 
-void encode(const changes::Standing &standing, Standing &message)
+void encode(const membership::ControlHost &host, ControlHost &message)
+{
+    message.set_id(host.id.str());
+    message.set_address(host.address);
+    message.set_domain(host.domain.str());
+}
+
+membership::ControlHost decode(const ControlHost &message)
+{
+    return {core::HostId(message.id()), message.address(), core::FailureDomain(message.domain())};
+}
+
+void encode(const changes::Standing &standing, std::uint64_t knownVersion, Standing &message)
 {
     message.set_revision(standing.revision);
     message.set_version(standing.version);
-    message.set_text(standing.text);
+    if (standing.version != knownVersion) {
+        message.set_text(standing.text);
+    }
     for (const auto &[name, domain] : standing.domains) {
         auto *encoded = message.add_domains();
         encoded->set_name(name.str());
@@ -68,18 +83,41 @@
     }
 }
 
-core::Result<changes::Standing> decode(const Standing &message)
+namespace
 {
-    auto parsed = configuration::parse(message.text());
+
+/** Puts the file of @p message into @p standing. */
+core::Status takeFile(const Standing &message, const configuration::FileParser &parser, changes::Standing &standing)
+{
+    auto parsed = parser(message.text());
     auto *configuration = std::get_if<configuration::Configuration>(&parsed);
     if (configuration == nullptr) {
         return core::Error{core::ErrorCode::MessageMalformed, "the file of the standing does not parse"};
     }
+    standing.text = message.text();
+    standing.configuration = std::make_shared<const configuration::Configuration>(std::move(*configuration));
+    return std::monostate{};
+}
+
+} // namespace
+
+core::Result<changes::Standing> decode(const Standing &message,
+                                       const changes::Standing *known,
+                                       const configuration::FileParser &parser)
+{
     changes::Standing standing;
     standing.revision = message.revision();
     standing.version = message.version();
-    standing.text = message.text();
-    standing.configuration = std::make_shared<const configuration::Configuration>(std::move(*configuration));
+    if (message.has_text()) {
+        if (auto taken = takeFile(message, parser, standing); !core::ok(taken)) {
+            return core::error(taken);
+        }
+    } else if (known != nullptr && known->version == message.version()) {
+        standing.text = known->text;
+        standing.configuration = known->configuration;
+    } else {
+        return core::Error{core::ErrorCode::MessageMalformed, "the standing leaves out a file that is not known"};
+    }
     for (const auto &domain : message.domains()) {
         standing.domains[core::FailureDomain(domain.name())] = {domain.out(), domain.changes()};
     }
--- a/src/rpc/commandcodec.cpp
+++ b/src/rpc/commandcodec.cpp
@@ -1,6 +1,8 @@
 #include "rpc/commandcodec.h"
 
+#include "pimentoshed.pb.h"
 #include "replication.pb.h"
+#include "rpc/codec.h"
 
 namespace pimentoshed::rpc
 {
@@ -9,13 +11,14 @@
 {
 
 struct CommandEncoder {
-    Command &command;
+    LogCommand &command;
 
     void operator()(const changes::ApplyFile &change) const
     {
         auto *message = command.mutable_apply_file();
         message->set_change_id(change.id.str());
         message->set_text(change.text);
+        message->set_named_by_content(change.namedByContent);
     }
     void operator()(const changes::MoveDomain &change) const
     {
@@ -29,29 +32,38 @@
 
 } // namespace
 
-std::string encodeCommand(const changes::Change &change)
+std::string encodeCommand(const Command &command)
 {
-    Command command;
-    std::visit(CommandEncoder{command}, change);
-    return command.SerializeAsString();
+    LogCommand message;
+    if (const auto *change = std::get_if<changes::Change>(&command)) {
+        std::visit(CommandEncoder{message}, *change);
+    } else {
+        encode(std::get<targets::Target>(command), *message.mutable_withdrawal());
+    }
+    return message.SerializeAsString();
 }
 
-core::Result<changes::Change> decodeCommand(const std::string &bytes)
+core::Result<Command> decodeCommand(const std::string &bytes)
 {
-    Command command;
+    LogCommand command;
     if (!command.ParseFromString(bytes)) {
         return core::Error{core::ErrorCode::MessageMalformed, "a command does not parse"};
     }
     if (command.has_apply_file()) {
         const auto &message = command.apply_file();
-        return changes::Change(changes::ApplyFile{core::ChangeId(message.change_id()), message.text()});
+        return Command(changes::Change(
+            changes::ApplyFile{core::ChangeId(message.change_id()), message.text(), message.named_by_content()}));
     }
     if (command.has_move_domain()) {
         const auto &message = command.move_domain();
-        return changes::Change(changes::MoveDomain{core::ChangeId(message.change_id()),
-                                                   core::FailureDomain(message.domain()),
-                                                   message.out(),
-                                                   message.replaces()});
+        return Command(changes::Change(changes::MoveDomain{core::ChangeId(message.change_id()),
+                                                           core::FailureDomain(message.domain()),
+                                                           message.out(),
+                                                           message.replaces()}));
+    }
+    if (command.has_withdrawal()) {
+        auto target = decode(command.withdrawal());
+        return core::ok(target) ? core::Result<Command>(Command(core::value(target))) : core::error(target);
     }
     return core::Error{core::ErrorCode::MessageMalformed, "an empty command"};
 }
--- a/src/rpc/commandcodec.h
+++ b/src/rpc/commandcodec.h
@@ -1,20 +1,25 @@
 /**
  * @file
- * Operators' changes and their answers as bytes of the replicated log.
+ * The commands of the replicated log and their answers as bytes.
  */
 #pragma once
 
 #include "changes/ledger.h"
 #include "core/error.h"
+#include "targets/target.h"
 
 #include <string>
+#include <variant>
 
 namespace pimentoshed::rpc
 {
 
-std::string encodeCommand(const changes::Change &change);
+/** An operator's change, or a target that gets no new work any more. */
+using Command = std::variant<changes::Change, targets::Target>;
+
+std::string encodeCommand(const Command &command);
 /** Error: MessageMalformed. */
-core::Result<changes::Change> decodeCommand(const std::string &bytes);
+core::Result<Command> decodeCommand(const std::string &bytes);
 
 std::string encodeAnswer(const changes::Answer &answer);
 /** Error within: MessageMalformed where the bytes do not parse. */
--- a/src/rpc/controlserver.cpp
+++ b/src/rpc/controlserver.cpp
@@ -99,6 +99,16 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *Join(grpc::CallbackServerContext *context,
+                                   const JoinRequest *request,
+                                   JoinReply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        *reply = m_hooks.join(*request);
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
 private:
     const ControlHooks &m_hooks;
 };
--- a/src/rpc/controlserver.h
+++ b/src/rpc/controlserver.h
@@ -27,6 +27,7 @@
     std::function<MemberId()> identify;
     std::function<void(Respond<ConfirmReply>)> confirm;
     std::function<void(const SubmitRequest &, Respond<SubmitReply>)> submit;
+    std::function<JoinReply(const JoinRequest &)> join;
 };
 
 /** Serves until it goes. */
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -31,11 +31,27 @@
 
 PeerClient::~PeerClient() = default;
 
-void PeerClient::deliver(const Envelope &envelope, core::Duration timeout)
+void PeerClient::deliver(const Envelope &envelope, core::Duration timeout, std::function<void()> unanswered)
 {
     auto call = detail::makeCall<Envelope, DeliverReply>(envelope, timeout, [](const auto &) {});
     m_impl->stub().async()->Deliver(
-        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &) {});
+        &call->context,
+        &call->request,
+        &call->reply,
+        [call, impl = m_impl, unanswered = std::move(unanswered)](const grpc::Status &status) {
+            if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+                unanswered();
+            }
+        });
+}
+
+void PeerClient::join(const JoinRequest &request, core::Duration timeout, ReplyHook<JoinReply> hook)
+{
+    auto call = detail::makeCall<JoinRequest, JoinReply>(request, timeout, std::move(hook));
+    m_impl->stub().async()->Join(
+        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &status) {
+            call->finish(status);
+        });
 }
 
 void PeerClient::identify(core::Duration timeout, ReplyHook<IdentifyReply> hook)
--- a/src/rpc/peerclient.h
+++ b/src/rpc/peerclient.h
@@ -24,10 +24,11 @@
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
 
-    /** Sends a message that may be lost. */
-    void deliver(const Envelope &envelope, core::Duration timeout);
+    /** Sends a message that may be lost; @p unanswered is called where nothing came back in time. */
+    void deliver(const Envelope &envelope, core::Duration timeout, std::function<void()> unanswered);
     void identify(core::Duration timeout, ReplyHook<IdentifyReply> hook);
     void confirm(core::Duration timeout, ReplyHook<ConfirmReply> hook);
+    void join(const JoinRequest &request, core::Duration timeout, ReplyHook<JoinReply> hook);
     void submit(const SubmitRequest &request, core::Duration timeout, ReplyHook<SubmitReply> hook);
 
 private:
--- /dev/null
+++ b/src/rpc/statecodec.cpp
@@ -0,0 +1,101 @@
+#include "rpc/statecodec.h"
+
+#include "replication.pb.h"
+#include "rpc/codec.h"
+#include "rpc/commandcodec.h"
+
+namespace pimentoshed::rpc
+{
+
+namespace
+{
+
+core::Error damaged(const std::string &what)
+{
+    return {core::ErrorCode::SnapshotDamaged, what};
+}
+
+void encode(const changes::LedgerState &ledger, StateSnapshot &message)
+{
+    message.set_revision(ledger.revision);
+    message.set_version(ledger.version);
+    message.set_text(ledger.text);
+    for (const auto &[name, standing] : ledger.domains) {
+        auto *domain = message.add_domains();
+        domain->set_name(name.str());
+        domain->set_out(standing.out);
+        domain->set_changes(standing.changes);
+        const auto mover = ledger.movers.find(name);
+        if (mover != ledger.movers.end()) {
+            domain->set_mover(mover->second.str());
+        }
+    }
+    for (const auto &winner : ledger.winners) {
+        auto *encoded = message.add_winners();
+        encoded->set_replaced(winner.replaced);
+        encoded->set_change_id(winner.id.str());
+    }
+    for (const auto &answered : ledger.answers) {
+        auto *encoded = message.add_answers();
+        encoded->set_id(answered.id.str());
+        encoded->set_digest_low(answered.digest.low);
+        encoded->set_digest_high(answered.digest.high);
+        encoded->mutable_answer()->ParseFromString(encodeAnswer(answered.answer));
+    }
+}
+
+changes::LedgerState decodeLedger(const StateSnapshot &message)
+{
+    changes::LedgerState ledger;
+    ledger.revision = message.revision();
+    ledger.version = message.version();
+    ledger.text = message.text();
+    for (const auto &domain : message.domains()) {
+        const core::FailureDomain name(domain.name());
+        ledger.domains[name] = {domain.out(), domain.changes()};
+        if (!domain.mover().empty()) {
+            ledger.movers[name] = core::ChangeId(domain.mover());
+        }
+    }
+    for (const auto &winner : message.winners()) {
+        ledger.winners.push_back({winner.replaced(), core::ChangeId(winner.change_id())});
+    }
+    for (const auto &answered : message.answers()) {
+        ledger.answers.push_back({core::ChangeId(answered.id()),
+                                  {answered.digest_high(), answered.digest_low()},
+                                  decodeAnswer(answered.answer().SerializeAsString())});
+    }
+    return ledger;
+}
+
+} // namespace
+
+std::string encodeState(const ReplicatedContent &content)
+{
+    StateSnapshot message;
+    encode(content.ledger, message);
+    for (const auto &target : content.withdrawals) {
+        encode(target, *message.add_withdrawals());
+    }
+    return message.SerializeAsString();
+}
+
+core::Result<ReplicatedContent> decodeState(const std::string &bytes)
+{
+    StateSnapshot message;
+    if (!message.ParseFromString(bytes)) {
+        return damaged("the snapshot does not parse");
+    }
+    ReplicatedContent content;
+    content.ledger = decodeLedger(message);
+    for (const auto &encoded : message.withdrawals()) {
+        const auto target = decode(encoded);
+        if (!core::ok(target)) {
+            return damaged(core::error(target).detail);
+        }
+        content.withdrawals.push_back(core::value(target));
+    }
+    return content;
+}
+
+} // namespace pimentoshed::rpc
--- /dev/null
+++ b/src/rpc/statecodec.h
@@ -0,0 +1,28 @@
+/**
+ * @file
+ * The replicated state as the bytes of a snapshot.
+ */
+#pragma once
+
+#include "changes/ledger.h"
+#include "core/error.h"
+#include "targets/target.h"
+
+#include <string>
+#include <vector>
+
+namespace pimentoshed::rpc
+{
+
+/** What every control host holds alike. */
+struct ReplicatedContent {
+    changes::LedgerState ledger;
+    /** From the oldest on. */
+    std::vector<targets::Target> withdrawals;
+};
+
+std::string encodeState(const ReplicatedContent &content);
+/** Error: SnapshotDamaged. */
+core::Result<ReplicatedContent> decodeState(const std::string &bytes);
+
+} // namespace pimentoshed::rpc
--- a/src/targets/target.h
+++ b/src/targets/target.h
@@ -11,6 +11,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace pimentoshed::targets
 {
@@ -31,15 +32,22 @@
 };
 
 /**
- * Orders the words of one target: a restart raises the incarnation, every other change of its own the sequence. Entry
- * hosts raise the lease epoch when the lease ends or another host takes it over.
+ * Orders the words of one target: a restart raises the incarnation, every other change of its own the sequence. A
+ * withdrawal goes before whatever else the same incarnation says, also later. Hosts raise the lease epoch when the lease
+ * ends or another host takes it over.
  */
 struct Word {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     std::uint64_t leaseEpoch = 0;
+    bool withdrawn = false;
 
-    auto operator<=>(const Word &) const = default;
+    bool operator==(const Word &) const = default;
+    auto operator<=>(const Word &other) const
+    {
+        return std::tie(incarnation, withdrawn, sequence, leaseEpoch)
+               <=> std::tie(other.incarnation, other.withdrawn, other.sequence, other.leaseEpoch);
+    }
 };
 
 /** The newest known announcement of a target. */
@@ -51,8 +59,10 @@
     std::string address;
     Word word;
     Condition condition = Condition::Cold;
-    /** The entry host that keeps the target's lease. */
+    /** The host that keeps the target's lease. */
     core::HostId origin;
+    /** Requests that it runs at once; 0 where only its service says. */
+    unsigned slots = 0;
 
     bool operator==(const Target &) const = default;
 };
--- a/src/targets/targettable.cpp
+++ b/src/targets/targettable.cpp
@@ -1,5 +1,7 @@
 #include "targets/targettable.h"
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace pimentoshed::targets
@@ -11,7 +13,15 @@
 /** The words without what entry hosts add to them. */
 auto ownWord(const Word &word)
 {
-    return std::pair(word.incarnation, word.sequence);
+    return std::tuple(word.incarnation, word.withdrawn, word.sequence);
+}
+
+/** Whether both say the same, whatever the words are. */
+bool sayTheSame(Target left, const Target &right)
+{
+    left.word = right.word;
+    left.origin = right.origin;
+    return left == right;
 }
 
 } // namespace
@@ -32,12 +42,14 @@
     }
     auto &entry = found->second;
     const auto &known = entry.target;
-    if (ownWord(target.word) < ownWord(known.word)) {
+    if (ownWord(target.word) < std::max(ownWord(known.word), ownWord(entry.heard))) {
         return Reception::Stale;
     }
     const bool sameWord = ownWord(target.word) == ownWord(known.word);
-    if (sameWord && entry.leaseEnd) {
+    const bool sameIncarnation = target.word.incarnation == known.word.incarnation;
+    if (sameIncarnation && entry.leaseEnd && sayTheSame(target, known)) {
         entry.leaseEnd = lease;
+        entry.heard = target.word;
         return Reception::Renewed;
     }
     target.word.leaseEpoch = sameWord ? known.word.leaseEpoch + 1 : 0;
@@ -67,6 +79,16 @@
     return Reception::Changed;
 }
 
+void TargetTable::adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd)
+{
+    const core::Lock lock(m_mutex);
+    for (auto &[id, entry] : m_entries) {
+        if (entry.target.origin == origin && entry.target.condition != Condition::Gone && !entry.leaseEnd) {
+            entry.leaseEnd = leaseEnd;
+        }
+    }
+}
+
 std::vector<Target> TargetTable::expire(core::TimePoint now)
 {
     const core::Lock lock(m_mutex);
@@ -132,13 +154,13 @@
         std::erase(m_byService[entry.target.service], target.id);
         m_byService[target.service].push_back(target.id);
     }
-    entry = Entry{target, leaseEnd};
+    entry = Entry{target, leaseEnd, target.word};
     tell(target);
 }
 
 void TargetTable::insert(const Target &target, std::optional<core::TimePoint> leaseEnd)
 {
-    m_entries.emplace(target.id, Entry{target, leaseEnd});
+    m_entries.emplace(target.id, Entry{target, leaseEnd, target.word});
     m_byService[target.service].push_back(target.id);
     tell(target);
 }
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -41,13 +41,16 @@
 
     /**
      * Takes @p target's own announcement at this host, which keeps its lease until @p leaseEnd from now on. The lease
-     * epoch of @p target is set here.
+     * epoch of @p target is set here. One that differs from the last by its sequence alone renews the lease.
      */
     Reception announce(Target target, core::TimePoint leaseEnd);
 
     /** Takes a record that another host passed on. */
     Reception learn(const Target &target);
 
+    /** Keeps from now on the leases that @p origin kept, until @p leaseEnd. */
+    void adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd);
+
     /** Marks as gone the targets whose leases this host keeps and that have ended. Returns them. */
     std::vector<Target> expire(core::TimePoint now);
 
@@ -60,6 +63,8 @@
     struct Entry {
         Target target;
         std::optional<core::TimePoint> leaseEnd;
+        /** The target's latest own word, which may say nothing new. */
+        Word heard;
     };
 
     void replace(Entry &entry, const Target &target, std::optional<core::TimePoint> leaseEnd);
