--- a/src/cli/roles.cpp
+++ b/src/cli/roles.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 #include <memory>
@@ -14,29 +15,58 @@
 namespace
 {
 
-/** Signals that ask for a stop. Must be blocked before any thread starts, so that only waitForStop takes them. */
-sigset_t stopSignals()
+/** Signals that are waited for. Must be blocked before any thread starts, so that only waitForStop takes them. */
+sigset_t awaitedSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
-void blockStopSignals()
+void blockSignals()
 {
-    const auto signals = stopSignals();
+    const auto signals = awaitedSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void waitForStop()
+timespec toTimespec(core::Duration duration)
 {
-    const auto signals = stopSignals();
-    int signal = 0;
-    sigwait(&signals, &signal);
-    core::log(core::LogLevel::Info, "stop-asked", {{"signal", signal}});
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration);
+    return {seconds.count(), static_cast<long>((duration - seconds).count())};
+}
+
+/** The next of the signals that are waited for, or 0 once @p period has passed; without a period it never has. */
+int nextSignal(core::Duration period)
+{
+    const auto signals = awaitedSignals();
+    if (period == core::Duration{}) {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        return signal;
+    }
+    const auto wait = toTimespec(period);
+    return std::max(0, sigtimedwait(&signals, nullptr, &wait));
+}
+
+template<typename Host>
+void waitForStop(Host &host, const SettingsWatch<Host> &watch)
+{
+    while (true) {
+        const int signal = nextSignal(watch.period);
+        if (signal == SIGTERM || signal == SIGINT) {
+            core::log(core::LogLevel::Info, "stop-asked", {{"signal", signal}});
+            return;
+        }
+        if (watch.check) {
+            watch.check(host, signal == SIGHUP);
+        } else if (signal == SIGHUP) {
+            core::log(core::LogLevel::Info, "reload-ignored", {{"reason", "flags do not change while a host runs"}});
+        }
+    }
 }
 
 ExitCode failedStart(const core::Error &error)
@@ -108,29 +138,29 @@
 
 } // namespace
 
-ExitCode runControl(const control::ControlSettings &settings)
+ExitCode runControl(const control::ControlSettings &settings, const SettingsWatch<control::ControlHost> &watch)
 {
-    blockStopSignals();
+    blockSignals();
     core::setLogHost(settings.id.str());
     const auto host = control::ControlHost::start(settings);
     if (!core::ok(host)) {
         return failedStart(core::error(host));
     }
-    waitForStop();
+    waitForStop(*core::value(host), watch);
     core::value(host)->stop();
     core::log(core::LogLevel::Info, "stopped");
     return ExitCode::Success;
 }
 
-ExitCode runEntry(const entry::EntrySettings &settings)
+ExitCode runEntry(const entry::EntrySettings &settings, const SettingsWatch<entry::EntryHost> &watch)
 {
-    blockStopSignals();
+    blockSignals();
     core::setLogHost(settings.id.str());
     const auto host = entry::EntryHost::start(settings);
     if (!core::ok(host)) {
         return failedStart(core::error(host));
     }
-    waitForStop();
+    waitForStop(*core::value(host), watch);
     const auto left = core::value(host)->stop();
     core::log(left == 0 ? core::LogLevel::Info : core::LogLevel::Error, "stopped", {{"requests_cut", left}});
     return left == 0 ? ExitCode::Success : ExitCode::StoppedWithWork;
--- a/src/cli/roles.h
+++ b/src/cli/roles.h
@@ -8,12 +8,22 @@
 #include "control/controlhost.h"
 #include "entry/entryhost.h"
 
+#include <functional>
+
 namespace pimentoshed::cli
 {
 
-/** Runs a host until it is told to stop. */
-ExitCode runControl(const control::ControlSettings &settings);
-ExitCode runEntry(const entry::EntrySettings &settings);
+/** Looks for new settings while a host runs. */
+template<typename Host>
+struct SettingsWatch {
+    /** Called on SIGHUP, and each @c period besides. */
+    std::function<void(Host &, bool asked)> check;
+    core::Duration period{};
+};
+
+/** Runs a host until SIGTERM or SIGINT. */
+ExitCode runControl(const control::ControlSettings &settings, const SettingsWatch<control::ControlHost> &watch = {});
+ExitCode runEntry(const entry::EntrySettings &settings, const SettingsWatch<entry::EntryHost> &watch = {});
 
 void addInit(CLI::App &app, ExitCode &exitCode);
 void addControl(CLI::App &app, ExitCode &exitCode);
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -113,6 +113,11 @@
         return std::monostate{};
     }
 
+    void learnPeers(const PeerAddresses &peers)
+    {
+        m_peers.learn(peers);
+    }
+
     void stop()
     {
         if (m_stopped.exchange(true)) {
@@ -627,6 +632,11 @@
     return std::unique_ptr<ControlHost>(new ControlHost(std::move(impl)));
 }
 
+void ControlHost::learnPeers(const PeerAddresses &peers)
+{
+    m_impl->learnPeers(peers);
+}
+
 void ControlHost::stop()
 {
     m_impl->stop();
--- a/src/control/controlhost.h
+++ b/src/control/controlhost.h
@@ -53,6 +53,9 @@
     /** Binds and starts. Errors: SettingInvalid, ListenFailed, those of Replicator::open. */
     static core::Result<std::unique_ptr<ControlHost>> start(const ControlSettings &settings);
 
+    /** Takes where control hosts are, to ask them where this one has no part in the log. */
+    void learnPeers(const PeerAddresses &peers);
+
     /** Stops gracefully; returns when nothing is in progress. */
     void stop();
 
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -113,6 +113,11 @@
         return left;
     }
 
+    void learnControlHosts(const std::vector<std::string> &addresses)
+    {
+        m_follower->learnControlHosts(addresses);
+    }
+
     /** Ends everything at once. */
     void shutDown()
     {
@@ -344,6 +349,11 @@
     return std::unique_ptr<EntryHost>(new EntryHost(std::move(impl)));
 }
 
+void EntryHost::learnControlHosts(const std::vector<std::string> &addresses)
+{
+    m_impl->learnControlHosts(addresses);
+}
+
 std::size_t EntryHost::stop()
 {
     return m_impl->stop();
--- a/src/entry/entryhost.h
+++ b/src/entry/entryhost.h
@@ -56,6 +56,9 @@
     /** Binds and starts. Errors: SettingInvalid, ListenFailed. */
     static core::Result<std::unique_ptr<EntryHost>> start(const EntrySettings &settings);
 
+    /** Takes addresses of control hosts to follow, should those known not answer. */
+    void learnControlHosts(const std::vector<std::string> &addresses);
+
     /**
      * Leaves the address answers, serves on until those have run out, finishes what is in progress. Blocks its thread
      * meanwhile. Returns the number of requests still in progress when the limit ended.
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -206,6 +206,19 @@
     }
 }
 
+void Follower::learnControlHosts(const std::vector<std::string> &addresses)
+{
+    const core::Lock lock(m_mutex);
+    for (const auto &address : addresses) {
+        const bool known = std::any_of(m_controls.begin(), m_controls.end(), [&address](const Control &control) {
+            return control.address == address;
+        });
+        if (!known) {
+            m_controls.push_back({address, {}, std::make_shared<rpc::ControlClient>(address)});
+        }
+    }
+}
+
 void Follower::preferNear()
 {
     const auto domain = m_parts.self().domain;
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -48,6 +48,9 @@
     void start();
     void stop();
 
+    /** Adds control hosts that are not known yet. */
+    void learnControlHosts(const std::vector<std::string> &addresses);
+
     /** Asks again at once, to pass on what this host says of itself. */
     void tell();
 
