--- a/src/control/targetdesk.cpp
+++ b/src/control/targetdesk.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pimentoshed::control
@@ -61,7 +62,12 @@
 
 std::optional<targets::Target> TargetDesk::find(const core::TargetId &id) const
 {
-    return m_table.find(id);
+    auto target = m_table.find(id);
+    const auto heard = m_table.heard(id);
+    if (target && heard && heard->incarnation == target->word.incarnation) {
+        target->word.sequence = std::max(target->word.sequence, heard->sequence);
+    }
+    return target;
 }
 
 } // namespace pimentoshed::control
--- a/src/control/targetdesk.h
+++ b/src/control/targetdesk.h
@@ -40,6 +40,7 @@
     /** Keeps the leases that @p origin kept, which is silent. */
     void adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd);
 
+    /** A target with the latest sequence that it gave itself here. */
     std::optional<targets::Target> find(const core::TargetId &id) const;
 
 private:
--- a/src/targets/targettable.cpp
+++ b/src/targets/targettable.cpp
@@ -142,6 +142,13 @@
     return found == m_entries.end() ? std::nullopt : std::optional(found->second.target);
 }
 
+std::optional<Word> TargetTable::heard(const core::TargetId &id) const
+{
+    const core::Lock lock(m_mutex);
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? std::nullopt : std::optional(found->second.heard);
+}
+
 std::size_t TargetTable::size() const
 {
     const core::Lock lock(m_mutex);
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -57,6 +57,8 @@
     std::vector<Target> ofService(const core::ServiceName &service) const;
     std::vector<Target> all() const;
     std::optional<Target> find(const core::TargetId &id) const;
+    /** The target's latest own word at this host, which may say nothing that find() doesn't. */
+    std::optional<Word> heard(const core::TargetId &id) const;
     std::size_t size() const;
 
 private:
