Cross failure domains only where that is worth the way

Cause: 40 of 100 attempts went far, and half the looks: mean time near the objective made every near target look late. A candidate now has a chance to be in time, and far ones pay 0.3 of it; near targets are asked first.

--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -288,22 +288,8 @@
         terms.objective = run.route.objective == core::Duration{}
                               ? core::Duration{}
                               : std::max(run.route.objective - (now - run.started), core::Duration{1});
-        std::vector<Looked> looked;
-        std::vector<core::TargetId> among;
-        if (m_parts.terms.looks > 1 && !run.service.healthPath.empty()) {
-            looked = look(run, terms);
-            for (const auto &each : looked) {
-                if (each.look.load) {
-                    among.push_back(each.target->id);
-                }
-            }
-        }
-        terms.among = among;
-        auto assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
-        if (!core::ok(assignment) && !among.empty()) {
-            terms.among = {};
-            assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
-        }
+        auto looked = lookAround(run, terms);
+        const auto assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
         for (auto &each : looked) {
             if (!each.look.connection) {
                 continue;
@@ -324,12 +310,42 @@
         http::Look look;
     };
 
-    /** Asks the most promising targets for their load. */
+    /**
+     * Asks the most promising near targets for their load, and far ones where a request would rather go there by what
+     * the near ones say.
+     */
+    std::vector<Looked> lookAround(const Run &run, const routing::AssignTerms &terms) const
+    {
+        if (m_parts.terms.looks == 0 || run.service.healthPath.empty()) {
+            return {};
+        }
+        auto nearTerms = terms;
+        nearTerms.nearOnly = true;
+        auto looked = look(run, nearTerms);
+        const auto best = m_parts.router.shortlist(run.service.name, m_parts.timers.now(), terms, 1);
+        const auto isBest = [&best](const Looked &each) {
+            return !best.empty() && each.target->id == best.front()->id;
+        };
+        if (best.empty() || std::any_of(looked.begin(), looked.end(), isBest)) {
+            return looked;
+        }
+        std::vector<core::TargetId> known(terms.avoid.begin(), terms.avoid.end());
+        for (const auto &each : looked) {
+            known.push_back(each.target->id);
+        }
+        auto others = terms;
+        others.avoid = known;
+        for (auto &each : look(run, others)) {
+            looked.push_back(std::move(each));
+        }
+        return looked;
+    }
+
     std::vector<Looked> look(const Run &run, const routing::AssignTerms &terms) const
     {
         const auto chosen =
             m_parts.router.shortlist(run.service.name, m_parts.timers.now(), terms, m_parts.terms.looks);
-        if (chosen.size() < 2) {
+        if (chosen.empty()) {
             return {};
         }
         std::vector<http::LookTarget> asked;
--- a/src/entry/callerfront.h
+++ b/src/entry/callerfront.h
@@ -23,7 +23,7 @@
 struct CallerTerms {
     /** Bytes of an answer that are held back until it is whole, so that a broken one can be replaced. */
     std::size_t holdBytes = 0;
-    /** Targets that are asked for their load before each attempt; 0 or 1 asks none. */
+    /** Targets that are asked for their load before each attempt; 0 asks none. */
     std::size_t looks = 0;
     /** All answers to such questions that come later are not waited for. */
     core::Duration lookPatience = std::chrono::milliseconds(8);
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -92,15 +92,15 @@
 }
 
 /**
- * Crossing to another failure domain costs bytes and a little time, so a near target goes first as long as it meets the
- * objective; what no near target can do in time is worth the way.
+ * For load that a failure domain's own targets can carry now and then only: a request crosses to another domain where
+ * that raises its chance to be in time by more than the way is worth.
  */
 Position pickNearInTime(std::span<const Candidate> candidates, const core::RandomSource &random)
 {
-    constexpr double WorseClass = 1e15;
+    /** Of an answer's worth; bytes between domains are dear at some deployments and cheap at others. */
+    constexpr double CrossingCost = 0.3;
     return pickCheapest(candidates, random, [](const Candidate &candidate) {
-        const int worse = candidate.inTime ? (candidate.near ? 0 : 1) : 2;
-        return worse * WorseClass + static_cast<double>(candidate.expectedTime.count());
+        return (candidate.near ? 0 : CrossingCost) - candidate.chance;
     });
 }
 
--- a/src/routing/picker.h
+++ b/src/routing/picker.h
@@ -31,8 +31,8 @@
     core::Duration expectedLatency{};
     /** How long a request would take there, by what the target said of its load and by what went there since. */
     core::Duration expectedTime{};
-    /** Whether that is within the request's objective. */
-    bool inTime = true;
+    /** How likely that is within the request's objective, from 0 to 1. */
+    double chance = 1;
 };
 
 /** The position of the chosen candidate, or nothing where none should be used. */
@@ -46,7 +46,7 @@
     TwoChoices,
     /** The default: shortest expected time, from requests in progress and the usual latency near and far. */
     LeastExpectedTime,
-    /** By the targets' own words: the soonest near one that is in time, else the soonest of all that are. */
+    /** By the targets' own words: the likeliest to meet the objective, less what the way to another domain costs. */
     NearInTime,
 };
 
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -1,6 +1,7 @@
 #include "routing/servicerouter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pimentoshed::routing
@@ -23,6 +24,10 @@
 constexpr core::Duration ReportMemory = std::chrono::milliseconds(300);
 /** More than this many times its slots are not sent to a target, whose own queue is short. */
 constexpr double MostLoad = 2;
+/** How far a request's time lies from what was expected, as a share of it: work varies by a third. */
+constexpr double TimeSpread = 0.25;
+/** A target that calls itself unfit may be wrong, but others go first. */
+constexpr double ChanceOfIll = 0.2;
 constexpr core::Duration FailurePause = std::chrono::milliseconds(50);
 
 bool contains(std::span<const core::TargetId> ids, const core::TargetId &id)
@@ -30,6 +35,14 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+/** How likely work that should take @p expected ends within @p objective. */
+double chanceOf(core::Duration expected, core::Duration objective)
+{
+    const double wanted = objective == core::Duration{} ? 1 : core::toSeconds(objective);
+    const double share = core::toSeconds(expected) / wanted;
+    return 1 / (1 + std::exp((share - 1) / TimeSpread));
+}
+
 bool allows(const AssignTerms &terms, const core::TargetId &id)
 {
     return !contains(terms.avoid, id) && (terms.among.empty() || contains(terms.among, id));
@@ -356,8 +369,10 @@
     found.near = entry.near;
     found.expectedLatency = expectedLatency(entry);
     found.expectedTime = expectedTime(entry, now);
-    const bool ill = entry.report && !entry.report->healthy && now - entry.reportedAt < ReportMemory;
-    found.inTime = !ill && (terms.objective == core::Duration{} || found.expectedTime <= terms.objective);
+    found.chance = chanceOf(found.expectedTime, terms.objective);
+    if (entry.report && !entry.report->healthy && now - entry.reportedAt < ReportMemory) {
+        found.chance *= ChanceOfIll;
+    }
     return found;
 }
 
@@ -412,7 +427,7 @@
             const bool usable = entry.serves && !entry.held && entry.suspicion.suspect() == suspects;
             const unsigned most = usable ? limit(entry, now) : 0;
             const bool room = inFlight < most && estimatedLoad(entry, now) < MostLoad * most;
-            if (room && allows(terms, entry.target->id)) {
+            if (room && allows(terms, entry.target->id) && (entry.near || !terms.nearOnly)) {
                 m_candidates.push_back(candidate(entry, most, terms, now));
                 m_candidatePositions.push_back(position);
             }
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -57,6 +57,8 @@
     std::span<const core::TargetId> among;
     /** Within this the request should be answered; zero where nothing is said. */
     core::Duration objective{};
+    /** Whether only targets of this host's failure domain are asked for. */
+    bool nearOnly = false;
 };
 
 /** A request that was given to a target. Ends with one release. */
