--- a/src/consensus/engine.cpp
+++ b/src/consensus/engine.cpp
@@ -13,7 +13,7 @@
     , m_outbox(m_hardState, m_log.last().index)
     , m_commit(m_log.snapshot().last.index)
 {
-    resetElectionDeadline(now);
+    m_electionDeadline = now + randomised(m_timing.firstElectionTimeout);
     if (m_log.members().voters == std::vector{m_self}) {
         m_electionDeadline = now;
     }
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -28,6 +28,8 @@
     core::Duration heartbeatInterval = std::chrono::milliseconds(250);
     /** A member that hears no leader for one to two of these campaigns; a leader without a quorum this long resigns. */
     core::Duration electionTimeout = std::chrono::seconds(1);
+    /** As electionTimeout, for a member that has just started: pre-votes protect a leader that it has not heard yet. */
+    core::Duration firstElectionTimeout = std::chrono::seconds(1);
     /** A candidate without enough votes tries again after one to two of these. */
     core::Duration campaignTimeout = std::chrono::milliseconds(250);
     /** Before a snapshot that was not acknowledged is sent again. */
--- a/src/control/replicator.cpp
+++ b/src/control/replicator.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+/** Hosts that start together agree on a leader within some of their round trips. */
+constexpr auto FirstElectionTimeout = std::chrono::milliseconds(150);
 constexpr auto SubmitLimit = std::chrono::seconds(5);
 /** Applied entries that a restart has to read again at most; some hundred changes are made in a day. */
 constexpr std::uint64_t EntriesPerSnapshot = 256;
@@ -32,7 +34,10 @@
                                              const core::RandomSource &random,
                                              core::TimePoint now)
 {
+    consensus::Timing timing;
+    timing.firstElectionTimeout = FirstElectionTimeout;
     consensus::Replica::Builder builder;
+    builder.timing(timing);
     builder.self(self).hardState(log.hardState).entries(log.entries).random(random);
     if (log.initialMembers) {
         builder.initialMembers(*log.initialMembers);
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -94,22 +94,15 @@
         const auto &limits = standing.configuration->limits;
         const core::FailureDomain preferred{std::string(exchange.queryValue("failure_domain"))};
         const auto chosen =
-            membership::chooseAddresses(hosts(), outDomains(standing), preferred, limits.addressCount, m_parts.random);
+            membership::chooseAddresses(knownHosts(m_parts.view, m_parts.self()),
+                                        outDomains(standing),
+                                        preferred,
+                                        limits.addressCount,
+                                        m_parts.random);
         const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(limits.addressLifetime).count();
         return http::jsonReply(status::ok, {{"keep_ms", keep}, {"addresses", chosen}});
     }
 
-    /** The hosts as known, but for what this one knows better of itself. */
-    std::vector<membership::EntryHost> hosts() const
-    {
-        auto known = m_parts.view.hosts();
-        const auto self = m_parts.self();
-        for (auto &host : known) {
-            host.stopping = host.stopping || (host.id == self.id && self.stopping);
-        }
-        return known;
-    }
-
     void serve(http::Exchange &exchange, const changes::Standing &standing, telemetry::RequestEnd &end) const
     {
         const auto failed = [&](core::Error error) {
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -90,7 +90,7 @@
         });
         core::log(core::LogLevel::Info,
                   "entry-started",
-                  {{"callers", m_callers->address()}, {"platform", m_platform->address()}});
+                  {{"callers", m_callers->address()}, {"platform", m_platform.front()->address()}});
         return std::monostate{};
     }
 
@@ -124,8 +124,8 @@
         m_stopped = true;
         m_expiryTimer.cancel();
         m_follower->stop();
-        if (m_platform) {
-            m_platform->drain();
+        for (const auto &server : m_platform) {
+            server->drain();
         }
         m_pool.stop();
     }
@@ -161,27 +161,30 @@
             return core::error(callers);
         }
         m_callers = core::value(callers);
-        auto platform = http::Server::Builder(m_pool.context())
-                            .address(m_settings.platformListen)
-                            .handler(telemetry::withMetrics(m_metrics,
-                                                            m_settings.makeTargetHandler({m_view,
-                                                                           m_targets,
-                                                                           m_timers,
-                                                                           [this]() {
-                                                                               return self();
-                                                                           },
-                                                                           [this](const auto &target) {
-                                                                               m_follower->report(target);
-                                                                           },
-                                                                           [this]() {
-                                                                               return m_callers->inProgress();
-                                                                           },
-                                                                           trafficHook()})))
-                            .start();
-        if (!core::ok(platform)) {
-            return core::error(platform);
+        const auto handler = telemetry::withMetrics(m_metrics,
+                                                    m_settings.makeTargetHandler({m_view,
+                                                                                  m_targets,
+                                                                                  m_timers,
+                                                                                  [this]() {
+                                                                                      return self();
+                                                                                  },
+                                                                                  [this](const auto &target) {
+                                                                                      m_follower->report(target);
+                                                                                  },
+                                                                                  [this]() {
+                                                                                      return m_callers->inProgress();
+                                                                                  },
+                                                                                  trafficHook()}));
+        for (const auto &address : {m_settings.platformListen, m_settings.directoryListen}) {
+            if (address.empty()) {
+                continue;
+            }
+            auto platform = http::Server::Builder(m_pool.context()).address(address).handler(handler).start();
+            if (!core::ok(platform)) {
+                return core::error(platform);
+            }
+            m_platform.push_back(core::value(platform));
         }
-        m_platform = core::value(platform);
         return std::monostate{};
     }
 
@@ -324,7 +327,7 @@
     RetryBudgets m_retryBudgets;
     std::shared_ptr<Follower> m_follower;
     std::shared_ptr<http::Server> m_callers;
-    std::shared_ptr<http::Server> m_platform;
+    std::vector<std::shared_ptr<http::Server>> m_platform;
     core::TimerSubscription m_expiryTimer;
 };
 
--- a/src/entry/entryhost.h
+++ b/src/entry/entryhost.h
@@ -27,6 +27,8 @@
     core::FailureDomain domain;
     std::string callerListen;
     std::string platformListen;
+    /** Another address that is served like platformListen; empty where there is none. */
+    std::string directoryListen;
     /** The control hosts' RPC addresses. */
     std::vector<std::string> controlAddresses;
     std::size_t workers = 2;
--- a/src/entry/view.cpp
+++ b/src/entry/view.cpp
@@ -70,6 +70,15 @@
     return m_hosts;
 }
 
+std::vector<membership::EntryHost> knownHosts(const View &view, const membership::EntryHost &self)
+{
+    auto known = view.hosts();
+    for (auto &host : known) {
+        host.stopping = host.stopping || (host.id == self.id && self.stopping);
+    }
+    return known;
+}
+
 std::vector<core::FailureDomain> outDomains(const changes::Standing &standing)
 {
     std::vector<core::FailureDomain> domains;
--- a/src/entry/view.h
+++ b/src/entry/view.h
@@ -48,6 +48,9 @@
     std::vector<membership::EntryHost> m_hosts;
 };
 
+/** The hosts as @p view knows them, but for what @p self knows better of itself. */
+std::vector<membership::EntryHost> knownHosts(const View &view, const membership::EntryHost &self);
+
 /** The failure domains that are out in @p standing. */
 std::vector<core::FailureDomain> outDomains(const changes::Standing &standing);
 
