--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -30,6 +30,10 @@
 
 routing::AttemptOutcome attemptOutcome(const http::RelayResult &result)
 {
+    if (result.stage == requests::AttemptStage::NotConnected && result.outcome.failure
+        && result.outcome.failure->code == ErrorCode::TargetFailed) {
+        return routing::AttemptOutcome::Unreachable;
+    }
     if (result.serverError) {
         return routing::AttemptOutcome::Failed;
     }
@@ -201,14 +205,19 @@
         m_parts.firstAttempt(run.service);
         while (true) {
             std::unique_ptr<http::TargetConnection> connection;
-            const auto assignment = assign(run, connection);
+            const auto assignment = place(run, connection);
             if (!core::ok(assignment)) {
+                if (core::error(assignment).code == ErrorCode::CallerTooSlow) {
+                    run.exchange.closeAfterwards();
+                    end.failure = ErrorCode::CallerTooSlow;
+                    return;
+                }
                 end.failure = core::error(assignment).code;
                 if (run.reached == 0) {
                     run.known = {RunState::NotRun, core::error(assignment)};
                 }
                 logRefusal(run);
-                refuse(run.exchange, run.known);
+                refuse(run.exchange, run.known, m_parts.router.usualTime(run.service.name));
                 return;
             }
             const auto result = attempt(run, core::value(assignment), std::move(connection));
@@ -263,12 +272,50 @@
                           : http::relay(run.exchange, m_parts.connections, terms);
         const auto ended = m_parts.timers.now();
         m_parts.router.release(assignment, {attemptOutcome(result), ended - started, result.load}, ended);
+        m_parts.waiting.roomIn(run.service.name);
         if (result.outcome.failure) {
             logFailure(run, *assignment.target, result);
         }
         return result;
     }
 
+    /** Finds a target for @p run, now or once it is its turn. CallerTooSlow where its caller has gone meanwhile. */
+    core::Result<routing::Assignment> place(const Run &run, std::unique_ptr<http::TargetConnection> &connection) const
+    {
+        const auto &service = run.service.name;
+        if (m_parts.waiting.waiting(service) == 0) {
+            auto assignment = assign(run, connection);
+            if (core::ok(assignment) || core::error(assignment).code != ErrorCode::NoTarget) {
+                return assignment;
+            }
+        }
+        const auto usual = m_parts.router.usualTime(service);
+        auto turn = m_parts.waiting.wait(run.exchange, service, waitUntil(run, usual), usual);
+        while (core::ok(turn)) {
+            const bool gone =
+                run.exchange.body().received() && run.exchange.takeArrived() == http::ArrivalState::Ended;
+            auto assignment = gone ? core::Result<routing::Assignment>(core::Error{ErrorCode::CallerTooSlow, {}})
+                                   : assign(run, connection);
+            if (core::ok(assignment) || core::error(assignment).code != ErrorCode::NoTarget) {
+                m_parts.waiting.taken(core::value(turn));
+                return assignment;
+            }
+            turn = m_parts.waiting.waitAgain(run.exchange, core::value(turn));
+        }
+        return core::error(turn);
+    }
+
+    /**
+     * When @p run should be answered at the latest to be worth a place in the line: what can't meet its objective any
+     * more gives way to what can. Where work of @p usual time never meets it, only the deadline counts.
+     */
+    static core::TimePoint waitUntil(const Run &run, core::Duration usual)
+    {
+        const auto objective = run.route.objective;
+        const bool reachable = objective > core::Duration{} && usual < objective;
+        return reachable ? std::min(run.terms.deadline, run.started + objective) : run.terms.deadline;
+    }
+
     /** Each attempt sees the present targets, but for those that have failed this request. */
     core::Result<routing::Assignment> assign(const Run &run, std::unique_ptr<http::TargetConnection> &connection) const
     {
@@ -354,6 +401,8 @@
         for (std::size_t position = 0; position < chosen.size(); ++position) {
             if (looks[position].load) {
                 m_parts.router.noteReport(*chosen[position], *looks[position].load, now);
+            } else {
+                m_parts.router.noteSilence(*chosen[position], now);
             }
             looked.push_back({chosen[position], std::move(looks[position])});
         }
@@ -404,18 +453,19 @@
             run.exchange.closeAfterwards();
             return;
         }
-        refuse(run.exchange, run.known);
+        refuse(run.exchange, run.known, m_parts.router.usualTime(run.service.name));
     }
 
-    /** A target that answered whole, but not to this caller, can't have its "ran" told in a refusal. */
-    void refuse(http::Exchange &exchange, requests::Outcome outcome) const
+    /** @p usual is how long work takes there. A target that answered whole, but not to this caller, can't have its "ran" told in a refusal. */
+    void refuse(http::Exchange &exchange, requests::Outcome outcome, core::Duration usual = {}) const
     {
         if (outcome.run == RunState::Ran) {
             outcome.run = RunState::Unknown;
         }
         std::optional<core::Duration> retryAfter;
         if (outcome.run == RunState::NotRun) {
-            retryAfter = LeastRetryAfter + LeastRetryAfter * core::below(m_parts.random, 100) / 100;
+            const auto base = std::max(LeastRetryAfter, usual);
+            retryAfter = base + base * core::below(m_parts.random, 100) / 100;
         }
         exchange.send(m_parts.marking.refusal({std::move(outcome), retryAfter}));
     }
--- a/src/entry/callerfront.h
+++ b/src/entry/callerfront.h
@@ -7,6 +7,7 @@
 #include "core/timerservice.h"
 #include "entry/retry.h"
 #include "entry/view.h"
+#include "entry/waitingroom.h"
 #include "http/connectionpool.h"
 #include "http/marking.h"
 #include "http/server.h"
@@ -35,6 +36,7 @@
     targets::TargetTable &targets;
     routing::Router &router;
     http::ConnectionPool &connections;
+    WaitingRoom &waiting;
     core::TimerService &timers;
     core::RandomSource random;
     /** This host as it reports itself; it leaves the address answers once it is stopping. */
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -55,6 +55,7 @@
         , m_pool(settings.workers)
         , m_timers(m_pool.context())
         , m_connections(m_pool.context())
+        , m_waiting(m_timers)
         , m_retryBudgets(settings.retriesInHand ? std::function<double()>([this]() {
             return *m_settings.retriesInHand / static_cast<double>(std::max<std::size_t>(1, m_view.hosts().size()));
         })
@@ -142,6 +143,7 @@
                                                    m_targets,
                                                    m_router,
                                                    m_connections,
+                                                   m_waiting,
                                                    m_timers,
                                                    threadRandom(),
                                                    [this]() {
@@ -222,6 +224,7 @@
     /** Has the router know a standing's services before requests are routed by it. */
     void followStanding(const changes::Standing &standing)
     {
+        m_waiting.configure(*standing.configuration);
         m_router.setOutDomains(outDomains(standing));
         if (m_router.configure(standing.configuration)) {
             for (const auto &target : m_targets.all()) {
@@ -324,6 +327,7 @@
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     http::ConnectionPool m_connections;
+    WaitingRoom m_waiting;
     RetryBudgets m_retryBudgets;
     std::shared_ptr<Follower> m_follower;
     std::shared_ptr<http::Server> m_callers;
--- a/src/routing/attempt.h
+++ b/src/routing/attempt.h
@@ -20,6 +20,8 @@
     Answered,
     Failed,
     Shed,
+    /** No connection could be made. */
+    Unreachable,
     /** Ended by this host or the caller: says nothing of the target. */
     Cancelled,
 };
@@ -28,6 +30,7 @@
     core::EnumName<AttemptOutcome>{AttemptOutcome::Answered, "answered"},
     core::EnumName<AttemptOutcome>{AttemptOutcome::Failed, "failed"},
     core::EnumName<AttemptOutcome>{AttemptOutcome::Shed, "shed"},
+    core::EnumName<AttemptOutcome>{AttemptOutcome::Unreachable, "unreachable"},
     core::EnumName<AttemptOutcome>{AttemptOutcome::Cancelled, "cancelled"},
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -109,6 +109,14 @@
     return guarded->router.shortlist(now, terms, count);
 }
 
+void Router::noteSilence(const targets::Target &target, core::TimePoint now)
+{
+    if (const auto guarded = find(target.service)) {
+        const core::Lock lock(guarded->mutex);
+        guarded->router.noteSilence(target.id, now);
+    }
+}
+
 void Router::noteReport(const targets::Target &target, const LoadReport &report, core::TimePoint now)
 {
     if (const auto guarded = find(target.service)) {
@@ -150,6 +158,16 @@
     return guarded->router.latency().lateAfter();
 }
 
+core::Duration Router::usualTime(const core::ServiceName &service) const
+{
+    const auto guarded = find(service);
+    if (!guarded) {
+        return {};
+    }
+    const core::Lock lock(guarded->mutex);
+    return guarded->router.usualTime();
+}
+
 TargetStatus Router::status(const core::ServiceName &service, const core::TargetId &id) const
 {
     const auto guarded = find(service);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -51,6 +51,9 @@
                                                                   const AssignTerms &terms,
                                                                   std::size_t count);
 
+    /** Notes that a target said nothing when asked for its load. */
+    void noteSilence(const targets::Target &target, core::TimePoint now);
+
     /** Takes what a target says of its load. */
     void noteReport(const targets::Target &target, const LoadReport &report, core::TimePoint now);
 
@@ -59,6 +62,9 @@
     /** From when on an attempt of @p service counts as late: for hedges and probes. */
     core::Duration lateAfter(const core::ServiceName &service) const;
 
+    /** How long a request of @p service takes as a rule once it has a target; zero where nothing is known. */
+    core::Duration usualTime(const core::ServiceName &service) const;
+
     TargetStatus status(const core::ServiceName &service, const core::TargetId &id) const;
 
 private:
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -24,10 +24,15 @@
 constexpr core::Duration ReportMemory = std::chrono::milliseconds(300);
 /** More than this many times its slots are not sent to a target, whose own queue is short. */
 constexpr double MostLoad = 2;
+/** Less likely than this to be in time, a request waits here rather than at a target. */
+constexpr double ChanceToQueue = 0.5;
 /** How far a request's time lies from what was expected, as a share of it: work varies by a third. */
 constexpr double TimeSpread = 0.25;
 /** A target that calls itself unfit may be wrong, but others go first. */
 constexpr double ChanceOfIll = 0.2;
+/** Between two tries at a target that can't be reached: less than a cold start takes, and a second at most. */
+constexpr core::Duration LeastUnreachablePause = std::chrono::milliseconds(100);
+constexpr core::Duration MostUnreachablePause = std::chrono::seconds(1);
 constexpr core::Duration FailurePause = std::chrono::milliseconds(50);
 
 bool contains(std::span<const core::TargetId> ids, const core::TargetId &id)
@@ -124,6 +129,25 @@
     return found;
 }
 
+void ServiceRouter::noteSilence(const core::TargetId &id, core::TimePoint now)
+{
+    const auto found = m_positions.find(id);
+    if (found != m_positions.end()) {
+        leaveAlone(m_entries[found->second], now);
+    }
+}
+
+/** One that is gone is asked again now and then, ever more rarely; one that answers is taken back at once. */
+void ServiceRouter::leaveAlone(Entry &entry, core::TimePoint now)
+{
+    if (now < entry.unreachableUntil) {
+        return;
+    }
+    entry.unreachablePause =
+        std::clamp<core::Duration>(entry.unreachablePause * 2, LeastUnreachablePause, MostUnreachablePause);
+    entry.unreachableUntil = now + entry.unreachablePause;
+}
+
 void ServiceRouter::noteReport(const core::TargetId &id, const LoadReport &report, core::TimePoint now)
 {
     const auto found = m_positions.find(id);
@@ -186,6 +210,11 @@
             entry.assumedColdUntil.has_value()};
 }
 
+core::Duration ServiceRouter::usualTime() const
+{
+    return core::Duration(static_cast<std::int64_t>(m_usualWork));
+}
+
 const LatencyEstimate &ServiceRouter::latency() const
 {
     return m_latency;
@@ -237,6 +266,9 @@
     if (end.report) {
         takeReport(entry, *end.report, now);
     }
+    if (end.outcome == AttemptOutcome::Unreachable) {
+        leaveAlone(entry, now);
+    }
     if (end.outcome == AttemptOutcome::Cancelled) {
         if (attempt.trial) {
             entry.suspicion.dropTrial();
@@ -252,7 +284,9 @@
         m_latency.add(end.latency);
         const double slowness = end.report ? std::max(end.report->slowness, 0.1) : 1;
         const auto work = static_cast<double>(end.latency.count()) / slowness;
-        m_usualWork = m_usualWork == 0 ? work : m_usualWork + (work - m_usualWork) * EstimateStep;
+        if (attempt.unqueued || m_usualWork == 0) {
+            m_usualWork = m_usualWork == 0 ? work : m_usualWork + (work - m_usualWork) * EstimateStep;
+        }
         (entry.near ? m_nearLatency : m_farLatency).add(end.latency);
     }
     if (!m_hooks.suspects) {
@@ -321,6 +355,8 @@
 
 void ServiceRouter::takeReport(Entry &entry, const LoadReport &report, core::TimePoint now)
 {
+    entry.unreachableUntil = {};
+    entry.unreachablePause = {};
     entry.report = report;
     entry.reportedAt = now;
     entry.ownAtReport = entry.outstanding.size();
@@ -357,6 +393,14 @@
     return core::Duration(static_cast<std::int64_t>(m_usualWork * slowness * turns * spread));
 }
 
+/** A target takes work while it has a slot free, and a little more where that is still likely to end in time. */
+bool ServiceRouter::hasRoom(const Entry &entry, const Candidate &candidate, core::TimePoint now) const
+{
+    const double load = estimatedLoad(entry, now);
+    const double room = slots(entry);
+    return load < room || (candidate.chance >= ChanceToQueue && load < MostLoad * room);
+}
+
 Candidate ServiceRouter::candidate(const Entry &entry,
                                    unsigned most,
                                    const AssignTerms &terms,
@@ -391,8 +435,8 @@
     for (std::size_t step = 0; step < m_entries.size(); ++step) {
         const auto position = (first + step) % m_entries.size();
         const auto &entry = m_entries[position];
-        if (entry.suspicion.trialDue(now) && entry.outstanding.size() < limit(entry, now)
-            && allows(terms, entry.target->id)) {
+        if (entry.suspicion.trialDue(now) && now >= entry.unreachableUntil
+            && entry.outstanding.size() < limit(entry, now) && allows(terms, entry.target->id)) {
             return position;
         }
     }
@@ -426,9 +470,12 @@
             const auto inFlight = static_cast<unsigned>(entry.outstanding.size());
             const bool usable = entry.serves && !entry.held && entry.suspicion.suspect() == suspects;
             const unsigned most = usable ? limit(entry, now) : 0;
-            const bool room = inFlight < most && estimatedLoad(entry, now) < MostLoad * most;
-            if (room && allows(terms, entry.target->id) && (entry.near || !terms.nearOnly)) {
-                m_candidates.push_back(candidate(entry, most, terms, now));
+            if (inFlight >= most || now < entry.unreachableUntil || !allows(terms, entry.target->id) || (terms.nearOnly && !entry.near)) {
+                continue;
+            }
+            const auto found = candidate(entry, most, terms, now);
+            if (hasRoom(entry, found, now)) {
+                m_candidates.push_back(found);
                 m_candidatePositions.push_back(position);
             }
         }
@@ -447,7 +494,7 @@
         m_hooks.coldStart(*entry.target, m_service, now);
     }
     const auto attempt = m_nextAttempt++;
-    entry.outstanding.push_back({attempt, now, trial});
+    entry.outstanding.push_back({attempt, now, trial, estimatedLoad(entry, now) < slots(entry)});
     return {entry.target, attempt};
 }
 
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -104,6 +104,9 @@
                                                                   const AssignTerms &terms,
                                                                   std::size_t count);
 
+    /** Notes that a target said nothing when asked for its load. */
+    void noteSilence(const core::TargetId &id, core::TimePoint now);
+
     /** Takes what a target says of its load. */
     void noteReport(const core::TargetId &id, const LoadReport &report, core::TimePoint now);
 
@@ -111,6 +114,8 @@
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
 
     TargetStatus status(const core::TargetId &id) const;
+    /** Of a request at a target of usual speed with room; zero where nothing is known. */
+    core::Duration usualTime() const;
     const LatencyEstimate &latency() const;
     /** Requests at all targets together. */
     std::size_t inFlight() const;
@@ -120,6 +125,8 @@
         std::uint64_t attempt = 0;
         core::TimePoint start{};
         bool trial = false;
+        /** Whether the target seemed to have a slot free when it got this. */
+        bool unqueued = true;
     };
     struct Entry {
         std::shared_ptr<const targets::Target> target;
@@ -136,6 +143,9 @@
         core::TimePoint lastEnd{};
         unsigned failedTrials = 0;
         std::optional<core::TimePoint> assumedColdUntil;
+        /** Until then it is left alone: no connection could be made, or it said nothing when asked. */
+        core::TimePoint unreachableUntil{};
+        core::Duration unreachablePause{};
     };
 
     void refresh(Entry &entry) const;
@@ -148,10 +158,12 @@
     bool isCold(const Entry &entry, core::TimePoint now) const;
     unsigned slots(const Entry &entry) const;
     core::Duration expectedLatency(const Entry &entry) const;
+    static void leaveAlone(Entry &entry, core::TimePoint now);
     void takeReport(Entry &entry, const LoadReport &report, core::TimePoint now);
     /** Requests that the target has now, of all hosts, as far as can be told. */
     double estimatedLoad(const Entry &entry, core::TimePoint now) const;
     core::Duration expectedTime(const Entry &entry, core::TimePoint now) const;
+    bool hasRoom(const Entry &entry, const Candidate &candidate, core::TimePoint now) const;
     Candidate candidate(const Entry &entry, unsigned most, const AssignTerms &terms, core::TimePoint now) const;
     std::optional<std::size_t> dueTrial(core::TimePoint now, const AssignTerms &terms);
     std::optional<std::size_t> pick(core::TimePoint now, const AssignTerms &terms);
