Give requests only to targets that have just told their load, and are in time

Cause, from a trial with a line for each attempt: a target's speed counts when work starts and then holds for all of it, so that a free slow slot is worth less than a short wait, and a place in a target's queue leaves the speed to chance; requests went to targets that had not told their load (silent looks).

--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -24,6 +24,8 @@
 
 /** A refused caller is to come back after about as long as an answer usually takes; spread, so that not all do at once. */
 constexpr core::Duration LeastRetryAfter = std::chrono::milliseconds(40);
+/** In usual times of work: so long a queue is gone that made a request wait past its objective. */
+constexpr int RetryAfterWorks = 2;
 /** Connections that can't be made prove that nothing ran; a request is given up after so many all the same. */
 constexpr std::size_t MostTries = 6;
 constexpr core::Duration BodyPatience = std::chrono::seconds(10);
@@ -85,6 +87,7 @@
         const configuration::Route &route;
         const configuration::Service &service;
         http::RelayTerms terms;
+        /** When its caller began to wait. */
         core::TimePoint started{};
         /** Targets that the request was sent to, or could not be. */
         std::vector<core::TargetId> tried;
@@ -138,7 +141,7 @@
             failed(core::error(body));
             return;
         }
-        Run run{exchange, *route, *service, {}, m_parts.timers.now(), {}, 0, {}};
+        Run run{exchange, *route, *service, {}, begunAt(*route, core::value(deadline)), {}, 0, {}};
         run.terms.deadline = core::value(deadline);
         run.terms.maxRequestBytes = service->maxRequestBytes;
         run.terms.shedIsNotRun = service->shedIsNotRun;
@@ -182,6 +185,15 @@
         return m_parts.timers.now() + std::min(route.deadline, core::value(given).value_or(route.deadline));
     }
 
+    /**
+     * When the caller began to wait: one that gives less time than its route has spent the rest on earlier attempts,
+     * so that a repeat doesn't pass for a fresh request.
+     */
+    static core::TimePoint begunAt(const configuration::Route &route, core::TimePoint deadline)
+    {
+        return deadline - route.deadline;
+    }
+
     /** Takes a small body before a target is chosen: a slow caller then holds none up. */
     core::Status takeBody(http::Exchange &exchange, core::TimePoint deadline) const
     {
@@ -290,6 +302,9 @@
             }
         }
         const auto usual = m_parts.router.usualTime(service);
+        if (isLate(run, usual)) {
+            return core::Error{ErrorCode::NoTarget, "no room for a request that is late already"};
+        }
         auto turn = m_parts.waiting.wait(run.exchange, service, waitUntil(run, usual), usual);
         while (core::ok(turn)) {
             const bool gone =
@@ -305,15 +320,32 @@
         return core::error(turn);
     }
 
-    /**
-     * When @p run should be answered at the latest to be worth a place in the line: what can't meet its objective any
-     * more gives way to what can. Where work of @p usual time never meets it, only the deadline counts.
-     */
+    /** How long an answer to @p run may take: until its objective, or its deadline where that can't be met any more. */
+    core::Duration timeToSpend(const Run &run, core::TimePoint now) const
+    {
+        const bool late = isLate(run, m_parts.router.usualTime(run.service.name));
+        const bool objective = run.route.objective > core::Duration{} && !late;
+        return std::max(objective ? run.started + run.route.objective - now : run.terms.deadline - now,
+                        core::Duration{1});
+    }
+
+    /** Whether work of @p usual time could meet the objective of @p run, were it done at once when it came. */
+    static bool isReachable(const Run &run, core::Duration usual)
+    {
+        return run.route.objective > core::Duration{} && usual < run.route.objective;
+    }
+
+    /** Whether @p run can't meet its objective any more: what still can goes first, on every host. */
+    bool isLate(const Run &run, core::Duration usual) const
+    {
+        return isReachable(run, usual) && m_parts.timers.now() + usual > run.started + run.route.objective;
+    }
+
+    /** When @p run should be answered at the latest to be worth a place in the line. */
     static core::TimePoint waitUntil(const Run &run, core::Duration usual)
     {
-        const auto objective = run.route.objective;
-        const bool reachable = objective > core::Duration{} && usual < objective;
-        return reachable ? std::min(run.terms.deadline, run.started + objective) : run.terms.deadline;
+        return isReachable(run, usual) ? std::min(run.terms.deadline, run.started + run.route.objective)
+                                       : run.terms.deadline;
     }
 
     /** Each attempt sees the present targets, but for those that have failed this request. */
@@ -325,10 +357,11 @@
         }
         routing::AssignTerms terms;
         terms.avoid = run.tried;
-        terms.objective = run.route.objective == core::Duration{}
-                              ? core::Duration{}
-                              : std::max(run.route.objective - (now - run.started), core::Duration{1});
+        terms.objective = timeToSpend(run, now);
         auto looked = lookAround(run, terms);
+        // Of the others nothing is known at this moment: their load may have changed since they last told it.
+        const auto told = thatTold(looked);
+        terms.among = told;
         const auto assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
         for (auto &each : looked) {
             if (!each.look.connection) {
@@ -350,6 +383,17 @@
         http::Look look;
     };
 
+    static std::vector<core::TargetId> thatTold(const std::vector<Looked> &looked)
+    {
+        std::vector<core::TargetId> told;
+        for (const auto &each : looked) {
+            if (each.look.load) {
+                told.push_back(each.target->id);
+            }
+        }
+        return told;
+    }
+
     /**
      * Asks the most promising near targets for their load, and far ones where a request would rather go there by what
      * the near ones say.
@@ -464,7 +508,7 @@
         }
         std::optional<core::Duration> retryAfter;
         if (outcome.run == RunState::NotRun) {
-            const auto base = std::max(LeastRetryAfter, usual);
+            const auto base = std::max(LeastRetryAfter, RetryAfterWorks * usual);
             retryAfter = base + base * core::below(m_parts.random, 100) / 100;
         }
         exchange.send(m_parts.marking.refusal({std::move(outcome), retryAfter}));
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -22,10 +22,8 @@
 constexpr double EstimateStep = 0.05;
 /** A report of a target's load says nothing any more after this: shared machines change within some 150 ms. */
 constexpr core::Duration ReportMemory = std::chrono::milliseconds(300);
-/** More than this many times its slots are not sent to a target, whose own queue is short. */
-constexpr double MostLoad = 2;
-/** Less likely than this to be in time, a request waits here rather than at a target. */
-constexpr double ChanceToQueue = 0.5;
+/** Less likely than this to be in time at any target, a request waits here. */
+constexpr double LeastChance = 0.3;
 /** How far a request's time lies from what was expected, as a share of it: work varies by a third. */
 constexpr double TimeSpread = 0.25;
 /** A target that calls itself unfit may be wrong, but others go first. */
@@ -282,9 +280,8 @@
     const bool good = answered && end.latency <= m_latency.lateAfter();
     if (answered) {
         m_latency.add(end.latency);
-        const double slowness = end.report ? std::max(end.report->slowness, 0.1) : 1;
-        const auto work = static_cast<double>(end.latency.count()) / slowness;
-        if (attempt.unqueued || m_usualWork == 0) {
+        if (attempt.unqueued) {
+            const auto work = static_cast<double>(end.latency.count()) / std::max(attempt.slowness, 1.0);
             m_usualWork = m_usualWork == 0 ? work : m_usualWork + (work - m_usualWork) * EstimateStep;
         }
         (entry.near ? m_nearLatency : m_farLatency).add(end.latency);
@@ -377,28 +374,38 @@
     return own + fresh * std::max(0.0, reported - static_cast<double>(entry.ownAtReport));
 }
 
-core::Duration ServiceRouter::expectedTime(const Entry &entry, core::TimePoint now) const
+double ServiceRouter::slowness(const Entry &entry, core::TimePoint now) const
 {
-    double slowness = m_usualSlowness;
-    if (entry.report && now - entry.reportedAt < ReportMemory) {
-        const double fresh = 1 - core::toSeconds(now - entry.reportedAt) / core::toSeconds(ReportMemory);
-        slowness += fresh * (entry.report->slowness - m_usualSlowness);
+    if (!entry.report || now - entry.reportedAt > ReportMemory) {
+        return m_usualSlowness;
     }
+    const double fresh = 1 - core::toSeconds(now - entry.reportedAt) / core::toSeconds(ReportMemory);
+    return m_usualSlowness + fresh * (entry.report->slowness - m_usualSlowness);
+}
+
+core::Duration ServiceRouter::expectedTime(const Entry &entry, core::TimePoint now) const
+{
     const double load = estimatedLoad(entry, now);
     const double room = slots(entry);
-    // Work before it, in units of the target's whole capacity, and its own.
-    const double turns = 1 + std::max(0.0, load + 1 - room) / room;
+    // How slow work is shows when it starts: of what waits in a target's own queue nothing is known but the usual.
+    const double queued = std::max(0.0, load + 1 - room) / room;
+    const double own = queued > 0 ? m_usualSlowness : slowness(entry, now);
     // Equal targets differ a little by their load, so that work spreads before any is full.
-    const double spread = 1 + 0.1 * load / room;
-    return core::Duration(static_cast<std::int64_t>(m_usualWork * slowness * turns * spread));
+    constexpr double SpreadShare = 0.1;
+    return core::Duration(static_cast<std::int64_t>(
+        m_usualWork * (own * (1 + SpreadShare * load / room) + m_usualSlowness * queued)));
 }
 
-/** A target takes work while it has a slot free, and a little more where that is still likely to end in time. */
+/**
+ * A target takes work while it has a slot free and is likely to end it in time: it is worth waiting for one that has
+ * room and is fast. Its own queue is not used where requests can wait here.
+ */
 bool ServiceRouter::hasRoom(const Entry &entry, const Candidate &candidate, core::TimePoint now) const
 {
-    const double load = estimatedLoad(entry, now);
-    const double room = slots(entry);
-    return load < room || (candidate.chance >= ChanceToQueue && load < MostLoad * room);
+    if (m_usualWork == 0) {
+        return true;
+    }
+    return estimatedLoad(entry, now) < slots(entry) && candidate.chance >= LeastChance;
 }
 
 Candidate ServiceRouter::candidate(const Entry &entry,
@@ -494,7 +501,7 @@
         m_hooks.coldStart(*entry.target, m_service, now);
     }
     const auto attempt = m_nextAttempt++;
-    entry.outstanding.push_back({attempt, now, trial, estimatedLoad(entry, now) < slots(entry)});
+    entry.outstanding.push_back({attempt, now, trial, estimatedLoad(entry, now) < slots(entry), slowness(entry, now)});
     return {entry.target, attempt};
 }
 
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -127,6 +127,8 @@
         bool trial = false;
         /** Whether the target seemed to have a slot free when it got this. */
         bool unqueued = true;
+        /** How slow the target said it was. */
+        double slowness = 1;
     };
     struct Entry {
         std::shared_ptr<const targets::Target> target;
@@ -162,6 +164,7 @@
     void takeReport(Entry &entry, const LoadReport &report, core::TimePoint now);
     /** Requests that the target has now, of all hosts, as far as can be told. */
     double estimatedLoad(const Entry &entry, core::TimePoint now) const;
+    double slowness(const Entry &entry, core::TimePoint now) const;
     core::Duration expectedTime(const Entry &entry, core::TimePoint now) const;
     bool hasRoom(const Entry &entry, const Candidate &candidate, core::TimePoint now) const;
     Candidate candidate(const Entry &entry, unsigned most, const AssignTerms &terms, core::TimePoint now) const;
@@ -181,7 +184,7 @@
     LatencyEstimate m_latency;
     LatencyEstimate m_nearLatency;
     LatencyEstimate m_farLatency;
-    /** Of work at a target of usual speed with room, in nanoseconds. */
+    /** Of work that starts at once at a target of usual speed, in nanoseconds. */
     double m_usualWork = 0;
     double m_usualSlowness = 1;
     std::uint64_t m_nextAttempt = 1;
