--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -167,13 +167,13 @@
     changes::Ledger ledger;
     ledger.apply(changes::ApplyFile{core::ChangeId("1"), text});
     rpc::FollowReply reply;
-    rpc::encode(ledger.standing(), *reply.mutable_standing());
+    rpc::encode(ledger.standing(), 0, *reply.mutable_standing());
     results.add(Measure::StandingBytes, size, static_cast<double>(reply.ByteSizeLong()));
     results.add(Measure::StandingDecodeCpu, size, cpuMicros([&]() {
-                    rpc::decode(reply.standing());
+                    rpc::decode(reply.standing(), nullptr, configuration::parse);
                 }));
     results.add(Measure::ConfigurationHeap, size, heapOf([&]() {
-                    return std::make_shared<core::Result<changes::Standing>>(rpc::decode(reply.standing()));
+                    return std::make_shared<core::Result<changes::Standing>>(rpc::decode(reply.standing(), nullptr, configuration::parse));
                 }));
 }
 
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -266,17 +266,22 @@
     std::vector<membership::ControlHost> controlHosts() const
     {
         std::vector<membership::ControlHost> hosts;
-        const auto members = m_replicator->inspect().members;
-        const core::Lock lock(m_mutex);
-        for (const auto &member : members.voters) {
-            const auto domain = m_domains.find(member.host);
+        for (const auto &member : m_replicator->inspect().members.voters) {
+            const bool self = member.host == m_settings.id;
             hosts.push_back({member.host,
-                             member.host == m_settings.id ? m_settings.rpcListen : m_peers.addressOf(member.host),
-                             domain == m_domains.end() ? core::FailureDomain() : domain->second});
+                             self ? m_settings.rpcListen : m_peers.addressOf(member.host),
+                             self ? m_settings.domain : domainOf(member.host)});
         }
         return hosts;
     }
 
+    core::FailureDomain domainOf(const core::HostId &host) const
+    {
+        const core::Lock lock(m_mutex);
+        const auto found = m_domains.find(host);
+        return found == m_domains.end() ? core::FailureDomain() : found->second;
+    }
+
     /** Notes where another control host is, as it says itself. */
     void hearPeer(const core::HostId &host, const core::FailureDomain &domain)
     {
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -38,11 +38,13 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-/** How likely work that should take @p expected ends within @p objective. */
+/** How likely work that should take @p expected ends within @p objective; without one, the sooner the likelier. */
 double chanceOf(core::Duration expected, core::Duration objective)
 {
-    const double wanted = objective == core::Duration{} ? 1 : core::toSeconds(objective);
-    const double share = core::toSeconds(expected) / wanted;
+    if (objective == core::Duration{}) {
+        return 1 / (1 + core::toSeconds(expected));
+    }
+    const double share = core::toSeconds(expected) / core::toSeconds(objective);
     return 1 / (1 + std::exp((share - 1) / TimeSpread));
 }
 
@@ -400,12 +402,16 @@
  * A target takes work while it has a slot free and is likely to end it in time: it is worth waiting for one that has
  * room and is fast. Its own queue is not used where requests can wait here.
  */
-bool ServiceRouter::hasRoom(const Entry &entry, const Candidate &candidate, core::TimePoint now) const
+bool ServiceRouter::hasRoom(const Entry &entry,
+                            const Candidate &candidate,
+                            const AssignTerms &terms,
+                            core::TimePoint now) const
 {
     if (m_usualWork == 0) {
         return true;
     }
-    return estimatedLoad(entry, now) < slots(entry) && candidate.chance >= LeastChance;
+    const bool inTime = terms.objective == core::Duration{} || candidate.chance >= LeastChance;
+    return inTime && estimatedLoad(entry, now) < slots(entry);
 }
 
 Candidate ServiceRouter::candidate(const Entry &entry,
@@ -481,7 +487,7 @@
                 continue;
             }
             const auto found = candidate(entry, most, terms, now);
-            if (hasRoom(entry, found, now)) {
+            if (hasRoom(entry, found, terms, now)) {
                 m_candidates.push_back(found);
                 m_candidatePositions.push_back(position);
             }
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -45,8 +45,8 @@
     EndHook onEnd;
     /** Whether late and failing targets lose work; the baselines run without. */
     bool suspects = true;
-    ColdGate coldGate;
-    ColdStart coldStart;
+    ColdGate coldGate{};
+    ColdStart coldStart{};
 };
 
 /** What one request asks of its target. */
@@ -166,7 +166,7 @@
     double estimatedLoad(const Entry &entry, core::TimePoint now) const;
     double slowness(const Entry &entry, core::TimePoint now) const;
     core::Duration expectedTime(const Entry &entry, core::TimePoint now) const;
-    bool hasRoom(const Entry &entry, const Candidate &candidate, core::TimePoint now) const;
+    bool hasRoom(const Entry &entry, const Candidate &candidate, const AssignTerms &terms, core::TimePoint now) const;
     Candidate candidate(const Entry &entry, unsigned most, const AssignTerms &terms, core::TimePoint now) const;
     std::optional<std::size_t> dueTrial(core::TimePoint now, const AssignTerms &terms);
     std::optional<std::size_t> pick(core::TimePoint now, const AssignTerms &terms);
