--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -173,7 +173,8 @@
                     rpc::decode(reply.standing(), nullptr, configuration::parse);
                 }));
     results.add(Measure::ConfigurationHeap, size, heapOf([&]() {
-                    return std::make_shared<core::Result<changes::Standing>>(rpc::decode(reply.standing(), nullptr, configuration::parse));
+                    return std::make_shared<core::Result<changes::Standing>>(
+                        rpc::decode(reply.standing(), nullptr, configuration::parse));
                 }));
 }
 
--- a/src/changes/ledger.cpp
+++ b/src/changes/ledger.cpp
@@ -96,7 +96,8 @@
 core::Result<Ledger> Ledger::restore(LedgerState state, configuration::FileParser parser)
 {
     const bool hasFile = state.version > 0;
-    if (hasFile == state.winners.empty() || state.winners.size() > std::min<std::uint64_t>(state.revision, WinnersKept)) {
+    if (hasFile == state.winners.empty()
+        || state.winners.size() > std::min<std::uint64_t>(state.revision, WinnersKept)) {
         return core::Error{ErrorCode::SnapshotDamaged, "the ledger's counts do not agree"};
     }
     Ledger ledger(std::move(parser));
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -346,8 +346,7 @@
     void submit(const rpc::Command &command, std::function<void(changes::Answer)> done)
     {
         m_leaderDesk->submit(
-            rpc::encodeCommand(command),
-            [done = std::move(done)](const core::Result<std::string> &answer) {
+            rpc::encodeCommand(command), [done = std::move(done)](const core::Result<std::string> &answer) {
                 done(core::ok(answer) ? rpc::decodeAnswer(core::value(answer)) : changes::Answer(core::error(answer)));
             });
     }
--- a/src/control/peerfeed.cpp
+++ b/src/control/peerfeed.cpp
@@ -14,7 +14,8 @@
 constexpr auto Hold = std::chrono::milliseconds(1000);
 constexpr auto FollowTimeout = std::chrono::milliseconds(1800);
 constexpr auto RetryDelay = std::chrono::milliseconds(500);
-/** A dead entry host must have left the answers to callers within some six seconds; its control host may die with it. */
+/** A dead entry host must have left the answers to callers within some six seconds; its control host may die with it.
+ */
 constexpr auto SilentLimit = std::chrono::seconds(3);
 
 } // namespace
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -42,8 +42,8 @@
 void setLogHost(std::string host);
 
 /**
- * Writes one line; whole lines of different threads never mix. Of one event some lines a second are written at most; the
- * next one that is says how many were dropped.
+ * Writes one line; whole lines of different threads never mix. Of one event some lines a second are written at most;
+ * the next one that is says how many were dropped.
  */
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -22,7 +22,8 @@
 
 constexpr std::string_view AddressesPath = "/pimentoshed/v1/addresses";
 
-/** A refused caller is to come back after about as long as an answer usually takes; spread, so that not all do at once. */
+/** A refused caller is to come back after about as long as an answer usually takes; spread, so that not all do at once.
+ */
 constexpr core::Duration LeastRetryAfter = std::chrono::milliseconds(40);
 /** In usual times of work: so long a queue is gone that made a request wait past its objective. */
 constexpr int RetryAfterWorks = 2;
@@ -100,12 +101,11 @@
     {
         const auto &limits = standing.configuration->limits;
         const core::FailureDomain preferred{std::string(exchange.queryValue("failure_domain"))};
-        const auto chosen =
-            membership::chooseAddresses(knownHosts(m_parts.view, m_parts.self()),
-                                        outDomains(standing),
-                                        preferred,
-                                        limits.addressCount,
-                                        m_parts.random);
+        const auto chosen = membership::chooseAddresses(knownHosts(m_parts.view, m_parts.self()),
+                                                        outDomains(standing),
+                                                        preferred,
+                                                        limits.addressCount,
+                                                        m_parts.random);
         const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(limits.addressLifetime).count();
         return http::jsonReply(status::ok, {{"keep_ms", keep}, {"addresses", chosen}});
     }
@@ -279,9 +279,8 @@
         terms.target = assignment.target->id;
         terms.passServerErrors = !run.terms.idempotent || run.reached + 1 >= run.route.attempts;
         const auto started = m_parts.timers.now();
-        auto result = connection
-                          ? http::relayOn(std::move(connection), run.exchange, m_parts.connections, terms)
-                          : http::relay(run.exchange, m_parts.connections, terms);
+        auto result = connection ? http::relayOn(std::move(connection), run.exchange, m_parts.connections, terms)
+                                 : http::relay(run.exchange, m_parts.connections, terms);
         const auto ended = m_parts.timers.now();
         m_parts.router.release(assignment, {attemptOutcome(result), ended - started, result.load}, ended);
         m_parts.waiting.roomIn(run.service.name);
@@ -307,8 +306,7 @@
         }
         auto turn = m_parts.waiting.wait(run.exchange, service, waitUntil(run, usual), usual);
         while (core::ok(turn)) {
-            const bool gone =
-                run.exchange.body().received() && run.exchange.takeArrived() == http::ArrivalState::Ended;
+            const bool gone = run.exchange.body().received() && run.exchange.takeArrived() == http::ArrivalState::Ended;
             auto assignment = gone ? core::Result<routing::Assignment>(core::Error{ErrorCode::CallerTooSlow, {}})
                                    : assign(run, connection);
             if (core::ok(assignment) || core::error(assignment).code != ErrorCode::NoTarget) {
@@ -370,8 +368,7 @@
             if (core::ok(assignment) && core::value(assignment).target->id == each.target->id) {
                 connection = std::move(each.look.connection);
             } else {
-                m_parts.connections.give(
-                    each.target->address, std::move(each.look.connection), m_parts.timers.now());
+                m_parts.connections.give(each.target->address, std::move(each.look.connection), m_parts.timers.now());
             }
         }
         return assignment;
@@ -500,7 +497,8 @@
         refuse(run.exchange, run.known, m_parts.router.usualTime(run.service.name));
     }
 
-    /** @p usual is how long work takes there. A target that answered whole, but not to this caller, can't have its "ran" told in a refusal. */
+    /** @p usual is how long work takes there. A target that answered whole, but not to this caller, can't have its
+     * "ran" told in a refusal. */
     void refuse(http::Exchange &exchange, requests::Outcome outcome, core::Duration usual = {}) const
     {
         if (outcome.run == RunState::Ran) {
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -192,10 +192,10 @@
         const auto known = std::find_if(m_controls.begin(), m_controls.end(), [&host](const Control &control) {
             return control.address == host.address;
         });
-        controls.push_back({host.address,
-                            host.domain,
-                            known == m_controls.end() ? std::make_shared<rpc::ControlClient>(host.address)
-                                                      : known->client});
+        controls.push_back(
+            {host.address,
+             host.domain,
+             known == m_controls.end() ? std::make_shared<rpc::ControlClient>(host.address) : known->client});
     }
     m_controls = std::move(controls);
     m_chosen = 0;
--- a/src/entry/view.cpp
+++ b/src/entry/view.cpp
@@ -33,8 +33,7 @@
 {
     const core::Lock lock(m_mutex);
     const bool current = m_standing && isCurrentWithLock(now);
-    const bool serves =
-        m_standing && m_standing->configuration->limits.whenStale == configuration::WhenStale::Serve;
+    const bool serves = m_standing && m_standing->configuration->limits.whenStale == configuration::WhenStale::Serve;
     if (!current && !serves) {
         return core::Error{core::ErrorCode::NotCurrent, {}};
     }
--- a/src/entry/waitingroom.cpp
+++ b/src/entry/waitingroom.cpp
@@ -100,8 +100,7 @@
     return m_queue.waiting(service);
 }
 
-core::Result<admission::Turn> WaitingRoom::awaitTurn(http::Exchange &exchange,
-                                                     const std::function<void(Waiter)> &enter)
+core::Result<admission::Turn> WaitingRoom::awaitTurn(http::Exchange &exchange, const std::function<void(Waiter)> &enter)
 {
     return http::await<core::Result<admission::Turn>>(exchange, enter);
 }
--- a/src/membership/seating.h
+++ b/src/membership/seating.h
@@ -25,9 +25,9 @@
 };
 
 /**
- * The change that seats @p newcomer, or nothing while it has to wait. A host with another disk takes its own old seat, a
- * free seat is taken at once, and of the others the one that is silent for longest, if for @c SeatSilence. @p seats are
- * the present voters, the leader included; @p most how many there may be.
+ * The change that seats @p newcomer, or nothing while it has to wait. A host with another disk takes its own old seat,
+ * a free seat is taken at once, and of the others the one that is silent for longest, if for @c SeatSilence. @p seats
+ * are the present voters, the leader included; @p most how many there may be.
  */
 std::optional<consensus::MembersChange> seatFor(const consensus::MemberId &newcomer,
                                                 const std::vector<Seat> &seats,
--- a/src/replay/replay.cpp
+++ b/src/replay/replay.cpp
@@ -294,7 +294,8 @@
         auto &request = m_requests[sent.request];
         auto &host = m_hosts[request.host];
         ++m_summary.messages;
-        host.router->release(sent.assignment, {outcome, now() - sent.start, routing::LoadReport{load, 0, 0, 1, {}, true}}, now());
+        host.router->release(
+            sent.assignment, {outcome, now() - sent.start, routing::LoadReport{load, 0, 0, 1, {}, true}}, now());
         requests::Outcome known{RunState::Ran, std::nullopt};
         if (outcome != routing::AttemptOutcome::Answered) {
             known = {RunState::NotRun, core::Error{core::ErrorCode::TargetFailed, {}}};
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -125,9 +125,7 @@
     }
 }
 
-core::Result<Assignment> Router::assign(const core::ServiceName &service,
-                                        core::TimePoint now,
-                                        const AssignTerms &terms)
+core::Result<Assignment> Router::assign(const core::ServiceName &service, core::TimePoint now, const AssignTerms &terms)
 {
     const auto guarded = find(service);
     if (!guarded) {
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -394,8 +394,8 @@
     const double own = queued > 0 ? m_usualSlowness : slowness(entry, now);
     // Equal targets differ a little by their load, so that work spreads before any is full.
     constexpr double SpreadShare = 0.1;
-    return core::Duration(static_cast<std::int64_t>(
-        m_usualWork * (own * (1 + SpreadShare * load / room) + m_usualSlowness * queued)));
+    return core::Duration(
+        static_cast<std::int64_t>(m_usualWork * (own * (1 + SpreadShare * load / room) + m_usualSlowness * queued)));
 }
 
 /**
@@ -483,7 +483,8 @@
             const auto inFlight = static_cast<unsigned>(entry.outstanding.size());
             const bool usable = entry.serves && !entry.held && entry.suspicion.suspect() == suspects;
             const unsigned most = usable ? limit(entry, now) : 0;
-            if (inFlight >= most || now < entry.unreachableUntil || !allows(terms, entry.target->id) || (terms.nearOnly && !entry.near)) {
+            if (inFlight >= most || now < entry.unreachableUntil || !allows(terms, entry.target->id)
+                || (terms.nearOnly && !entry.near)) {
                 continue;
             }
             const auto found = candidate(entry, most, terms, now);
--- a/src/rpc/call.cpp
+++ b/src/rpc/call.cpp
@@ -49,8 +49,7 @@
         };
         static Holder *const holder = new Holder;
         auto call = detail::makeCall<FollowRequest, FollowReply>({}, core::Duration{}, [](const auto &) {});
-        holder->stub->async()->Follow(
-            &call->context, &call->request, &call->reply, [call](const grpc::Status &) {});
+        holder->stub->async()->Follow(&call->context, &call->request, &call->reply, [call](const grpc::Status &) {});
     });
 }
 
--- a/src/targets/target.h
+++ b/src/targets/target.h
@@ -33,8 +33,8 @@
 
 /**
  * Orders the words of one target: a restart raises the incarnation, every other change of its own the sequence. A
- * withdrawal goes before whatever else the same incarnation says, also later. Hosts raise the lease epoch when the lease
- * ends or another host takes it over.
+ * withdrawal goes before whatever else the same incarnation says, also later. Hosts raise the lease epoch when the
+ * lease ends or another host takes it over.
  */
 struct Word {
     std::uint64_t incarnation = 0;
--- /dev/null
+++ b/tests/platform/announcement.cpp
@@ -0,0 +1,69 @@
+#include "platform/announcement.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using targets::Condition;
+
+namespace
+{
+
+const core::TargetId Id("i-1");
+const std::vector<core::FailureDomain> Domains{core::FailureDomain("ravne")};
+
+core::Result<targets::Target> read(const std::string &body)
+{
+    return platform::readAnnouncement(Id, body, Domains);
+}
+
+} // namespace
+
+TEST_CASE("an announcement says what the target is, in the product's terms")
+{
+    const auto target = read(R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","version":"v1","slots":6,)"
+                             R"("state":"ready","cold_left":"1.5s","seq":4,"born":17})");
+    REQUIRE(core::ok(target));
+    CHECK(core::value(target).id == Id);
+    CHECK(core::value(target).slots == 6);
+    CHECK(core::value(target).condition == Condition::Cold);
+    CHECK(core::value(target).word == targets::Word{17, 4});
+    const auto leaving = read(R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","slots":6,)"
+                              R"("state":"draining","cold_left":"0ms","seq":5,"born":17})");
+    CHECK(core::value(leaving).condition == Condition::Leaving);
+}
+
+TEST_CASE("announcements of other writers are refused, whatever is wrong with them")
+{
+    const auto body =
+        GENERATE(as<std::string>{},
+                 "",
+                 "[]",
+                 "{\"service\":",
+                 "\xff\xfe",
+                 R"({"address":"10.0.0.1:80","zone":"ravne","slots":6,"state":"ready","seq":4})",
+                 R"({"service":3,"address":"10.0.0.1:80","zone":"ravne","slots":6,"state":"ready","seq":4})",
+                 R"({"service":"s","address":"here","zone":"ravne","slots":6,"state":"ready","seq":4})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"x","slots":6,"state":"ready","seq":4})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","slots":6,"state":"odd","seq":4})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","slots":6,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","slots":-1,"state":"ready","seq":4})",
+                 R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","slots":6,"state":"ready","seq":4,)"
+                 R"("born":"now"})");
+    const auto target = read(body);
+    REQUIRE_FALSE(core::ok(target));
+    CHECK(core::error(target).code == core::ErrorCode::AnnouncementMalformed);
+}
+
+TEST_CASE("a departure that says nothing counts behind the latest word heard of the target")
+{
+    targets::Target known;
+    known.id = Id;
+    known.word = {17, 40};
+    known.condition = Condition::Warm;
+    const auto gone = platform::readDeparture(Id, "", known);
+    REQUIRE(core::ok(gone));
+    CHECK(core::value(gone).condition == Condition::Gone);
+    CHECK(core::value(gone).word == targets::Word{17, 41});
+    CHECK_FALSE(core::ok(platform::readDeparture(Id, "", std::nullopt)));
+    CHECK(core::value(platform::readDeparture(Id, R"({"born":18})", known)).word.incarnation == 18);
+}
--- /dev/null
+++ b/tests/platform/document.cpp
@@ -0,0 +1,145 @@
+#include "platform/document.h"
+#include "changes/ledger.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace pimentoshed;
+using configuration::Configuration;
+using nlohmann::json;
+
+namespace
+{
+
+platform::Settings settings()
+{
+    platform::Settings made;
+    made.domains = {core::FailureDomain("ravne"), core::FailureDomain("mezica")};
+    made.announcePeriod = std::chrono::milliseconds(1500);
+    made.retryRatio = 0.2;
+    return made;
+}
+
+json sample()
+{
+    return json::parse(R"({"version":"0000000c","base_version":"0000000a","routes":{
+        "reads":{"hostname":"a.example","path_prefix":"/a/","kind":"safe","timeout":"600ms","slo":"250ms","priority":2,
+                 "split":[{"service":"one","weight":90},{"service":"two","weight":10}],"attempts":2},
+        "loans":{"hostname":"a.example","path_prefix":"/a/b/","kind":"unsafe","timeout":"0.8s","service":"two"}},
+        "services":{"one":{"health_path":"/health","max_conns":260,"cold":"3s","cold_per_s":21.0},
+                    "two":{"health_path":"/health"}},
+        "limits":{"max_body_bytes":1024}})");
+}
+
+configuration::ParseResult parse(const json &document)
+{
+    return platform::parseFile(core::value(platform::makeFile(document.dump(), settings())));
+}
+
+} // namespace
+
+TEST_CASE("a document becomes routes and services on the product's terms")
+{
+    const auto parsed = parse(sample());
+    const auto *file = std::get_if<Configuration>(&parsed);
+    REQUIRE(file != nullptr);
+    CHECK(file->version == 12);
+    CHECK(file->replaces == 10);
+    CHECK(file->failureDomains.size() == 2);
+    CHECK(file->limits.whenStale == configuration::WhenStale::Serve);
+    CHECK(file->limits.targetLease == std::chrono::seconds(6));
+    const auto *reads = configuration::findRoute(*file, "a.example", "/a/x");
+    REQUIRE(reads != nullptr);
+    CHECK(reads->repeat == configuration::Repeat::Always);
+    CHECK(reads->objective == std::chrono::milliseconds(250));
+    CHECK(reads->attempts == 2);
+    CHECK(reads->shares.size() == 2);
+    const auto *loans = configuration::findRoute(*file, "a.example", "/a/b/x");
+    REQUIRE(loans != nullptr);
+    CHECK(loans->repeat == configuration::Repeat::Never);
+    CHECK(loans->deadline == std::chrono::milliseconds(800));
+    CHECK(configuration::findRoute(*file, "b.example", "/a/x") == nullptr);
+    CHECK(configuration::findRoute(*file, "a.example", "/b/") == nullptr);
+    const auto *one = configuration::findService(*file, core::ServiceName("one"));
+    REQUIRE(one != nullptr);
+    CHECK(one->coldPerSecond == 21.0);
+    CHECK(one->retryRatio == 0.2);
+    CHECK(one->maxRequestBytes == 1024);
+}
+
+TEST_CASE("invalid documents are refused with what is wrong")
+{
+    auto document = sample();
+    const auto spoil = GENERATE(range(0, 9));
+    switch (spoil) {
+    case 0:
+        document["routes"]["reads"]["split"][0]["service"] = "three";
+        break;
+    case 1:
+        document["routes"]["reads"]["split"][0]["weight"] = -1;
+        break;
+    case 2:
+        document["routes"]["loans"]["timeout"] = "601s";
+        break;
+    case 3:
+        document["routes"]["loans"]["path_prefix"] = "a/";
+        break;
+    case 4:
+        document["routes"]["loans"]["hostname"] = "";
+        break;
+    case 5:
+        document.erase("version");
+        break;
+    case 6:
+        document["version"] = "xyz";
+        break;
+    case 7:
+        document["routes"] = json::array();
+        break;
+    default:
+        document["routes"]["loans"].erase("timeout");
+        break;
+    }
+    CHECK(std::holds_alternative<std::vector<configuration::Mistake>>(parse(document)));
+}
+
+TEST_CASE("a document that is cut short is no document")
+{
+    const auto text = sample().dump();
+    CHECK_FALSE(core::ok(platform::makeFile(text.substr(0, text.size() / 2), settings())));
+}
+
+TEST_CASE("the same document has the same id, whatever the order of its keys, and is read back as it was")
+{
+    const auto text = sample().dump();
+    const auto file = core::value(platform::makeFile(text, settings()));
+    const auto again = core::value(platform::makeFile(sample().dump(2), settings()));
+    CHECK(platform::changeIdOf(file) == platform::changeIdOf(again));
+    CHECK(json::parse(platform::documentOf(file)) == sample());
+}
+
+TEST_CASE("versions rise in uneven steps, one change wins each, and what was accepted is acknowledged again")
+{
+    changes::Ledger ledger(platform::parseFile);
+    const auto apply = [&ledger](const json &document) {
+        const auto file = core::value(platform::makeFile(document.dump(), settings()));
+        return ledger.apply(changes::ApplyFile{platform::changeIdOf(file), file, true});
+    };
+    auto first = sample();
+    first["base_version"] = "00000000";
+    CHECK(core::ok(apply(first)));
+    CHECK(ledger.standing().version == 12);
+    auto rival = sample();
+    rival["base_version"] = "0000000c";
+    rival["version"] = "0000000f";
+    auto other = rival;
+    other["routes"].erase("loans");
+    CHECK(core::ok(apply(rival)));
+    CHECK(core::error(apply(other)).code == core::ErrorCode::VersionConflict);
+    CHECK(core::ok(apply(rival)));
+    CHECK(core::ok(apply(first)));
+    auto stale = rival;
+    stale["base_version"] = "0000000f";
+    CHECK(core::error(apply(stale)).code == core::ErrorCode::ConfigOutOfBounds);
+    CHECK(ledger.standing().version == 15);
+}
--- /dev/null
+++ b/tests/platform/marking.cpp
@@ -0,0 +1,113 @@
+#include "platform/marking.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using boost::beast::http::status;
+using http::AnswerKind;
+using requests::RunState;
+
+namespace
+{
+
+http::RequestHead request()
+{
+    http::RequestHead head;
+    head.set("X-Request-Id", "r1");
+    return head;
+}
+
+http::AnswerHead answer(status code, const std::vector<std::pair<std::string, std::string>> &headers)
+{
+    http::AnswerHead head;
+    head.result(code);
+    for (const auto &[name, value] : headers) {
+        head.set(name, value);
+    }
+    return head;
+}
+
+AnswerKind kindOf(const http::AnswerHead &head)
+{
+    return platform::marking().judge(request(), head).kind;
+}
+
+unsigned refusalStatus(RunState run, core::ErrorCode code)
+{
+    const auto reply = platform::marking().refusal({{run, core::Error{code, {}}}, std::chrono::milliseconds(250)});
+    return static_cast<unsigned>(reply.status);
+}
+
+} // namespace
+
+TEST_CASE("only a signed, whole and plain answer to this very request is one")
+{
+    CHECK(kindOf(answer(status::ok, {{"X-Request-Id", "r1"}, {"X-Response-Sig", "s"}})) == AnswerKind::Genuine);
+    CHECK(kindOf(answer(status::internal_server_error, {{"X-Request-Id", "r1"}, {"X-Response-Sig", "s"}}))
+          == AnswerKind::Genuine);
+    CHECK(kindOf(answer(status::ok, {{"X-Request-Id", "r0"}, {"X-Response-Sig", "s"}})) == AnswerKind::Stray);
+    CHECK(kindOf(answer(status::ok, {{"X-Request-Id", "r1"}})) == AnswerKind::Spoiled);
+    CHECK(kindOf(answer(status::ok, {{"X-Response-Sig", "s"}})) == AnswerKind::Spoiled);
+    CHECK(kindOf(answer(status::ok, {{"X-Request-Id", "r1"}, {"X-Response-Sig", "s"}, {"Content-Encoding", "gzip"}}))
+          == AnswerKind::Spoiled);
+}
+
+TEST_CASE("what a target says that it did not run is proven not to have run")
+{
+    CHECK(kindOf(answer(status::service_unavailable, {{"X-Not-Executed", "1"}})) == AnswerKind::NotRun);
+    CHECK(kindOf(answer(status::misdirected_request, {{"X-Instance-Id", "i-2"}})) == AnswerKind::NotRun);
+    CHECK(kindOf(answer(status::service_unavailable, {{"X-Request-Id", "r0"}, {"X-Not-Executed", "1"}}))
+          == AnswerKind::Stray);
+}
+
+TEST_CASE("statuses that promise not run are sent only where that is proven")
+{
+    const auto code = GENERATE(core::ErrorCode::NoTarget,
+                               core::ErrorCode::TargetFailed,
+                               core::ErrorCode::DeadlinePassed,
+                               core::ErrorCode::CallerTooSlow,
+                               core::ErrorCode::AnswerTruncated,
+                               core::ErrorCode::NotCurrent);
+    const auto unknown = refusalStatus(RunState::Unknown, code);
+    CHECK((unknown == 502 || unknown == 504));
+    const auto notRun = refusalStatus(RunState::NotRun, code);
+    CHECK((notRun == 503 || notRun == 408));
+}
+
+TEST_CASE("a refusal that proves nothing ran says when to come back")
+{
+    const auto reply = platform::marking().refusal(
+        {{RunState::NotRun, core::Error{core::ErrorCode::NoTarget, {}}}, std::chrono::milliseconds(250)});
+    REQUIRE_FALSE(reply.headers.empty());
+    CHECK(reply.headers.front() == http::Header("Retry-After", "0.250"));
+}
+
+TEST_CASE("the time that is left and the expected target go with each request")
+{
+    auto head = request();
+    head.set("X-Expect-Instance", "forged");
+    platform::marking().markRequest(head, core::TargetId("i-1"), std::chrono::microseconds(599900));
+    CHECK(head["X-Timeout-Ms"] == "599");
+    CHECK(head["X-Expect-Instance"] == "i-1");
+    CHECK(head["X-Request-Id"] == "r1");
+}
+
+TEST_CASE("load is read with its speed, or not at all")
+{
+    const auto read = [](const std::string &load) {
+        return platform::marking().readLoad(answer(status::ok, {{"X-Load", load}, {"X-Cold-Ms", "1200"}}));
+    };
+    const auto report = read("3,1,6,500");
+    REQUIRE(report);
+    CHECK(report->running == 3);
+    CHECK(report->waiting == 1);
+    CHECK(report->slots == 6);
+    CHECK(report->slowness == 5);
+    CHECK(report->coldFor == std::chrono::milliseconds(1200));
+    CHECK(read("3,1,6")->slowness == 1);
+    CHECK_FALSE(read("3,1"));
+    CHECK_FALSE(read("3,x,6"));
+    CHECK_FALSE(read(""));
+    const auto ill = answer(status::service_unavailable, {{"X-Load", "0,0,6"}});
+    CHECK_FALSE(platform::marking().readLoad(ill)->healthy);
+}
--- /dev/null
+++ b/tests/routing/nearintime.cpp
@@ -0,0 +1,132 @@
+#include "fixture.h"
+#include "routing/servicerouter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using namespace pimentoshed::routing::test;
+using namespace std::chrono_literals;
+using routing::AttemptOutcome;
+using routing::LoadReport;
+
+namespace
+{
+
+constexpr unsigned Slots = 3;
+
+LoadReport report(unsigned running, double slowness = 1)
+{
+    LoadReport made;
+    made.running = running;
+    made.slots = Slots;
+    made.slowness = slowness;
+    return made;
+}
+
+/** Two near targets and one far, at which work usually takes 100 ms. */
+routing::ServiceRouter makeFleet()
+{
+    auto router = makeRouter(2, routing::PickerKind::NearInTime, Slots);
+    router.update(makeTarget("far", "mezica"));
+    for (unsigned i = 0; i < 100; ++i) {
+        const auto assignment = core::value(router.assign(Start));
+        router.release(assignment, {AttemptOutcome::Answered, 100ms, report(0)}, Start);
+    }
+    return router;
+}
+
+routing::AssignTerms within(core::Duration objective)
+{
+    routing::AssignTerms terms;
+    terms.objective = objective;
+    return terms;
+}
+
+core::TargetId chosen(routing::ServiceRouter &router, core::Duration objective)
+{
+    const auto assigned = router.assign(Start, within(objective));
+    REQUIRE(core::ok(assigned));
+    const auto id = core::value(assigned).target->id;
+    router.release(core::value(assigned), {AttemptOutcome::Cancelled, {}, {}}, Start);
+    return id;
+}
+
+} // namespace
+
+TEST_CASE("a request stays in its failure domain while a near target can do it in time")
+{
+    auto router = makeFleet();
+    router.noteReport(core::TargetId("t0"), report(0, 5), Start);
+    router.noteReport(core::TargetId("t1"), report(2), Start);
+    router.noteReport(core::TargetId("far"), report(0), Start);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(chosen(router, 250ms) == core::TargetId("t1"));
+    }
+}
+
+TEST_CASE("a request crosses to another failure domain where no near target can do it in time")
+{
+    auto router = makeFleet();
+    router.noteReport(core::TargetId("t0"), report(0, 5), Start);
+    router.noteReport(core::TargetId("t1"), report(Slots), Start);
+    router.noteReport(core::TargetId("far"), report(0), Start);
+    CHECK(chosen(router, 250ms) == core::TargetId("far"));
+}
+
+TEST_CASE("full and slow targets are waited for, not queued at")
+{
+    auto router = makeFleet();
+    router.noteReport(core::TargetId("t0"), report(Slots), Start);
+    router.noteReport(core::TargetId("t1"), report(0, 5), Start);
+    router.noteReport(core::TargetId("far"), report(Slots + 2), Start);
+    CHECK(core::error(router.assign(Start, within(250ms))).code == core::ErrorCode::NoTarget);
+    // Who has no objective, or none that can be met, takes a slow one.
+    CHECK(chosen(router, 5s) == core::TargetId("t1"));
+}
+
+TEST_CASE("this host's own requests since a report count on top of it")
+{
+    auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
+    router.release(core::value(router.assign(Start)), {AttemptOutcome::Answered, 100ms, report(0)}, Start);
+    router.noteReport(core::TargetId("t0"), report(1), Start);
+    CHECK(core::ok(router.assign(Start, within(1s))));
+    CHECK(core::ok(router.assign(Start, within(1s))));
+    CHECK_FALSE(core::ok(router.assign(Start, within(1s))));
+}
+
+TEST_CASE("a target that says nothing is left alone, ever longer, and taken back once it speaks")
+{
+    auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
+    const core::TargetId id("t0");
+    router.noteSilence(id, Start);
+    CHECK(router.shortlist(Start + 99ms, {}, 3).empty());
+    CHECK(router.shortlist(Start + 100ms, {}, 3).size() == 1);
+    router.noteSilence(id, Start + 100ms);
+    CHECK(router.shortlist(Start + 299ms, {}, 3).empty());
+    router.noteReport(id, report(0), Start + 250ms);
+    CHECK(router.shortlist(Start + 250ms, {}, 3).size() == 1);
+}
+
+TEST_CASE("only those that are named are chosen among, and only near ones where that is asked")
+{
+    auto router = makeFleet();
+    const std::vector among{core::TargetId("far")};
+    routing::AssignTerms terms;
+    terms.among = among;
+    CHECK(core::value(router.assign(Start, terms)).target->id == core::TargetId("far"));
+    terms = {};
+    terms.nearOnly = true;
+    CHECK(router.shortlist(Start, terms, 3).size() == 2);
+}
+
+TEST_CASE("a target that says that it is cold is taken to be, whatever it announced")
+{
+    auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
+    auto cold = report(0);
+    cold.coldFor = 2s;
+    router.noteReport(core::TargetId("t0"), cold, Start);
+    CHECK(router.status(core::TargetId("t0")).assumedCold);
+    // The service's cold slots bound it then.
+    CHECK(core::ok(router.assign(Start)));
+    CHECK_FALSE(core::ok(router.assign(Start)));
+}
--- /dev/null
+++ b/tests/rpc/statecodec.cpp
@@ -0,0 +1,39 @@
+#include "rpc/statecodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+
+namespace
+{
+
+rpc::ReplicatedContent content()
+{
+    changes::Ledger ledger;
+    ledger.apply(changes::ApplyFile{core::ChangeId("a"), "replaces = 0\nfailure_domains = [\"ravne\"]\n"});
+    ledger.apply(changes::MoveDomain{core::ChangeId("b"), core::FailureDomain("ravne"), true, 0});
+    ledger.apply(changes::ApplyFile{core::ChangeId("c"), "replaces = 0\n"});
+    targets::Target target;
+    target.id = core::TargetId("t");
+    target.word = {7, 9, 0, true};
+    target.condition = targets::Condition::Leaving;
+    return {ledger.snapshot(), {target}};
+}
+
+} // namespace
+
+TEST_CASE("the replicated state is the same after a snapshot")
+{
+    const auto before = content();
+    const auto after = rpc::decodeState(rpc::encodeState(before));
+    REQUIRE(core::ok(after));
+    CHECK(core::value(after).ledger == before.ledger);
+    CHECK(core::value(after).withdrawals == before.withdrawals);
+    CHECK(core::ok(changes::Ledger::restore(core::value(after).ledger)));
+}
+
+TEST_CASE("bytes that are no snapshot are refused")
+{
+    const auto bytes = rpc::encodeState(content());
+    CHECK_FALSE(core::ok(rpc::decodeState(bytes.substr(0, bytes.size() - 1))));
+}
