Ask all near targets before a far one, and trust what a slow target announced

Only reports of the last 25 ms rule a target out now, lateness is measured against what the target announced, and a late answer to a look is no sign of a dead target. Ruled out: the limit of 8 ms for looks.

--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -392,36 +392,42 @@
     }
 
     /**
-     * Asks the most promising near targets for their load, and far ones where a request would rather go there by what
-     * the near ones say.
+     * Asks the most promising targets for their load, some at a time, until one of them has room: the near ones first,
+     * all of them where need be, as asking one costs little against the way to another failure domain.
      */
     std::vector<Looked> lookAround(const Run &run, const routing::AssignTerms &terms) const
     {
+        std::vector<Looked> looked;
         if (m_parts.terms.looks == 0 || run.service.healthPath.empty()) {
-            return {};
-        }
-        auto nearTerms = terms;
-        nearTerms.nearOnly = true;
-        auto looked = look(run, nearTerms);
-        const auto best = m_parts.router.shortlist(run.service.name, m_parts.timers.now(), terms, 1);
-        const auto isBest = [&best](const Looked &each) {
-            return !best.empty() && each.target->id == best.front()->id;
-        };
-        if (best.empty() || std::any_of(looked.begin(), looked.end(), isBest)) {
             return looked;
         }
-        std::vector<core::TargetId> known(terms.avoid.begin(), terms.avoid.end());
-        for (const auto &each : looked) {
-            known.push_back(each.target->id);
-        }
-        auto others = terms;
-        others.avoid = known;
-        for (auto &each : look(run, others)) {
-            looked.push_back(std::move(each));
+        std::vector<core::TargetId> avoid(terms.avoid.begin(), terms.avoid.end());
+        auto wanted = terms;
+        wanted.nearOnly = true;
+        while (!hasRoom(run, terms, looked)) {
+            wanted.avoid = avoid;
+            auto round = look(run, wanted);
+            if (round.empty() && !wanted.nearOnly) {
+                break;
+            }
+            wanted.nearOnly = wanted.nearOnly && !round.empty();
+            for (auto &each : round) {
+                avoid.push_back(each.target->id);
+                looked.push_back(std::move(each));
+            }
         }
         return looked;
     }
 
+    /** Whether one of those that told their load can be given the request. */
+    bool hasRoom(const Run &run, const routing::AssignTerms &terms, const std::vector<Looked> &looked) const
+    {
+        const auto told = thatTold(looked);
+        auto among = terms;
+        among.among = told;
+        return !told.empty() && !m_parts.router.shortlist(run.service.name, m_parts.timers.now(), among, 1).empty();
+    }
+
     std::vector<Looked> look(const Run &run, const routing::AssignTerms &terms) const
     {
         const auto chosen =
@@ -443,7 +449,7 @@
             if (looks[position].load) {
                 m_parts.router.noteReport(*chosen[position], *looks[position].load, now);
             } else {
-                m_parts.router.noteSilence(*chosen[position], now);
+                m_parts.router.noteSilence(*chosen[position], looks[position].failed, now);
             }
             looked.push_back({chosen[position], std::move(looks[position])});
         }
--- a/src/http/looks.cpp
+++ b/src/http/looks.cpp
@@ -76,6 +76,7 @@
             m_connection->socket.close(ignored);
             return {};
         }
+        m_look.failed = !m_look.load;
         return std::move(m_look);
     }
 
--- a/src/http/looks.h
+++ b/src/http/looks.h
@@ -27,6 +27,8 @@
 struct Look {
     /** Nothing where it did not answer in time, or by something else than its load. */
     std::optional<routing::LoadReport> load;
+    /** Whether its connection failed, or it answered something else: more than an answer that comes late. */
+    bool failed = false;
     /** Where it answered: the connection, on which the next request may be sent. */
     std::unique_ptr<TargetConnection> connection;
 };
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -109,11 +109,11 @@
     return guarded->router.shortlist(now, terms, count);
 }
 
-void Router::noteSilence(const targets::Target &target, core::TimePoint now)
+void Router::noteSilence(const targets::Target &target, bool failed, core::TimePoint now)
 {
     if (const auto guarded = find(target.service)) {
         const core::Lock lock(guarded->mutex);
-        guarded->router.noteSilence(target.id, now);
+        guarded->router.noteSilence(target.id, failed, now);
     }
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -51,8 +51,8 @@
                                                                   const AssignTerms &terms,
                                                                   std::size_t count);
 
-    /** Notes that a target said nothing when asked for its load. */
-    void noteSilence(const targets::Target &target, core::TimePoint now);
+    /** Notes that a target said nothing when asked for its load, because that @p failed or only in time. */
+    void noteSilence(const targets::Target &target, bool failed, core::TimePoint now);
 
     /** Takes what a target says of its load. */
     void noteReport(const targets::Target &target, const LoadReport &report, core::TimePoint now);
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -22,6 +22,8 @@
 constexpr double EstimateStep = 0.05;
 /** A report of a target's load says nothing any more after this: shared machines change within some 150 ms. */
 constexpr core::Duration ReportMemory = std::chrono::milliseconds(300);
+/** A report that is older may be out of date: a fraction of the time within which speeds change. */
+constexpr core::Duration FreshReport = std::chrono::milliseconds(25);
 /** Less likely than this to be in time at any target, a request waits here. */
 constexpr double LeastChance = 0.3;
 /** How far a request's time lies from what was expected, as a share of it: work varies by a third. */
@@ -30,6 +32,8 @@
 constexpr double ChanceOfIll = 0.2;
 /** Between two tries at a target that can't be reached: less than a cold start takes, and a second at most. */
 constexpr core::Duration LeastUnreachablePause = std::chrono::milliseconds(100);
+/** Answers to questions for its load that may come late in a row before a target counts as unreachable. */
+constexpr unsigned LateAnswersBorne = 3;
 constexpr core::Duration MostUnreachablePause = std::chrono::seconds(1);
 constexpr core::Duration FailurePause = std::chrono::milliseconds(50);
 
@@ -38,6 +42,16 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+/** @p bound for a target that had said that it was @p slowness times as slow as usual: what it announced is no fault.
+ */
+core::Duration stretched(core::Duration bound, double slowness)
+{
+    constexpr auto Longest = std::chrono::hours(1);
+    return slowness <= 1 || bound > Longest
+               ? bound
+               : core::Duration(static_cast<std::int64_t>(static_cast<double>(bound.count()) * slowness));
+}
+
 /** How likely work that should take @p expected ends within @p objective; without one, the sooner the likelier. */
 double chanceOf(core::Duration expected, core::Duration objective)
 {
@@ -129,11 +143,16 @@
     return found;
 }
 
-void ServiceRouter::noteSilence(const core::TargetId &id, core::TimePoint now)
+void ServiceRouter::noteSilence(const core::TargetId &id, bool failed, core::TimePoint now)
 {
     const auto found = m_positions.find(id);
-    if (found != m_positions.end()) {
-        leaveAlone(m_entries[found->second], now);
+    if (found == m_positions.end()) {
+        return;
+    }
+    auto &entry = m_entries[found->second];
+    // This host may be the one that is slow.
+    if (failed || ++entry.lateAnswers >= LateAnswersBorne) {
+        leaveAlone(entry, now);
     }
 }
 
@@ -252,8 +271,10 @@
         return;
     }
     const auto oldest = entry.outstanding.front().start;
-    const bool late = now - oldest > m_latency.lateAfter();
-    const bool silent = now - std::max(oldest, entry.lastEnd) > m_latency.silentAfter(entry.outstanding.size());
+    const auto &first = entry.outstanding.front();
+    const bool late = now - oldest > stretched(m_latency.lateAfter(), first.slowness);
+    const bool silent = now - std::max(oldest, entry.lastEnd)
+                        > stretched(m_latency.silentAfter(entry.outstanding.size()), first.slowness);
     if (late || silent) {
         entry.suspicion.raise(now, m_latency.mean());
         ++m_suspects;
@@ -279,7 +300,7 @@
         m_hooks.onEnd(*entry.target, end, m_latency.lateAfter(), now);
     }
     const bool answered = end.outcome == AttemptOutcome::Answered;
-    const bool good = answered && end.latency <= m_latency.lateAfter();
+    const bool good = answered && end.latency <= stretched(m_latency.lateAfter(), attempt.slowness);
     if (answered) {
         m_latency.add(end.latency);
         if (attempt.unqueued) {
@@ -356,6 +377,7 @@
 {
     entry.unreachableUntil = {};
     entry.unreachablePause = {};
+    entry.lateAnswers = 0;
     entry.report = report;
     entry.reportedAt = now;
     entry.ownAtReport = entry.outstanding.size();
@@ -410,7 +432,9 @@
     if (m_usualWork == 0) {
         return true;
     }
-    const bool inTime = terms.objective == core::Duration{} || candidate.chance >= LeastChance;
+    // What was said a while ago rules nobody out: the target can be asked again.
+    const bool fresh = entry.report && now - entry.reportedAt <= FreshReport;
+    const bool inTime = terms.objective == core::Duration{} || !fresh || candidate.chance >= LeastChance;
     return inTime && estimatedLoad(entry, now) < slots(entry);
 }
 
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -104,8 +104,8 @@
                                                                   const AssignTerms &terms,
                                                                   std::size_t count);
 
-    /** Notes that a target said nothing when asked for its load. */
-    void noteSilence(const core::TargetId &id, core::TimePoint now);
+    /** Notes that a target said nothing when asked for its load, because that @p failed or only in time. */
+    void noteSilence(const core::TargetId &id, bool failed, core::TimePoint now);
 
     /** Takes what a target says of its load. */
     void noteReport(const core::TargetId &id, const LoadReport &report, core::TimePoint now);
@@ -148,6 +148,8 @@
         /** Until then it is left alone: no connection could be made, or it said nothing when asked. */
         core::TimePoint unreachableUntil{};
         core::Duration unreachablePause{};
+        /** Questions in a row that were not answered in time. */
+        unsigned lateAnswers = 0;
     };
 
     void refresh(Entry &entry) const;
--- a/tests/routing/nearintime.cpp
+++ b/tests/routing/nearintime.cpp
@@ -98,15 +98,26 @@
 {
     auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
     const core::TargetId id("t0");
-    router.noteSilence(id, Start);
+    router.noteSilence(id, true, Start);
     CHECK(router.shortlist(Start + 99ms, {}, 3).empty());
     CHECK(router.shortlist(Start + 100ms, {}, 3).size() == 1);
-    router.noteSilence(id, Start + 100ms);
+    router.noteSilence(id, true, Start + 100ms);
     CHECK(router.shortlist(Start + 299ms, {}, 3).empty());
     router.noteReport(id, report(0), Start + 250ms);
     CHECK(router.shortlist(Start + 250ms, {}, 3).size() == 1);
 }
 
+TEST_CASE("an answer that only comes late leaves a target in use, several in a row don't")
+{
+    auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
+    const core::TargetId id("t0");
+    router.noteSilence(id, false, Start);
+    router.noteSilence(id, false, Start);
+    CHECK(router.shortlist(Start, {}, 3).size() == 1);
+    router.noteSilence(id, false, Start);
+    CHECK(router.shortlist(Start, {}, 3).empty());
+}
+
 TEST_CASE("only those that are named are chosen among, and only near ones where that is asked")
 {
     auto router = makeFleet();
