--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -29,6 +29,8 @@
 constexpr int RetryAfterWorks = 2;
 /** Connections that can't be made prove that nothing ran; a request is given up after so many all the same. */
 constexpr std::size_t MostTries = 6;
+/** One of these parts of the time that a request can spare is spent on waiting for near targets. */
+constexpr int SpareParts = 3;
 constexpr core::Duration BodyPatience = std::chrono::seconds(10);
 
 routing::AttemptOutcome attemptOutcome(const http::RelayResult &result)
@@ -327,6 +329,19 @@
                         core::Duration{1});
     }
 
+    /**
+     * Whether @p run may go to another failure domain: not before it has waited for near targets for a part of the time
+     * that it can spare, as their load shifts within a fraction of that.
+     */
+    bool mayCross(const Run &run, core::TimePoint now) const
+    {
+        const auto usual = m_parts.router.usualTime(run.service.name);
+        if (!isReachable(run, usual)) {
+            return true;
+        }
+        return now - run.started >= (run.route.objective - usual) / SpareParts;
+    }
+
     /** Whether work of @p usual time could meet the objective of @p run, were it done at once when it came. */
     static bool isReachable(const Run &run, core::Duration usual)
     {
@@ -356,6 +371,7 @@
         routing::AssignTerms terms;
         terms.avoid = run.tried;
         terms.objective = timeToSpend(run, now);
+        terms.nearOnly = !mayCross(run, now);
         auto looked = lookAround(run, terms);
         // Of the others nothing is known at this moment: their load may have changed since they last told it.
         const auto told = thatTold(looked);
@@ -407,7 +423,7 @@
         while (!hasRoom(run, terms, looked)) {
             wanted.avoid = avoid;
             auto round = look(run, wanted);
-            if (round.empty() && !wanted.nearOnly) {
+            if (round.empty() && (terms.nearOnly || !wanted.nearOnly)) {
                 break;
             }
             wanted.nearOnly = wanted.nearOnly && !round.empty();
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -498,6 +498,7 @@
     if (m_entries.empty()) {
         return;
     }
+    const bool nearOnly = terms.nearOnly && hasNear(now);
     const auto first = m_entries.size() > MaxCandidates ? core::below(m_hooks.random, m_entries.size()) : 0;
     for (const bool suspects : {false, true}) {
         for (std::size_t step = 0; step < m_entries.size() && m_candidates.size() < MaxCandidates; ++step) {
@@ -508,7 +509,7 @@
             const bool usable = entry.serves && !entry.held && entry.suspicion.suspect() == suspects;
             const unsigned most = usable ? limit(entry, now) : 0;
             if (inFlight >= most || now < entry.unreachableUntil || !allows(terms, entry.target->id)
-                || (terms.nearOnly && !entry.near)) {
+                || (nearOnly && !entry.near)) {
                 continue;
             }
             const auto found = candidate(entry, most, terms, now);
@@ -523,6 +524,13 @@
     }
 }
 
+bool ServiceRouter::hasNear(core::TimePoint now) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [now](const Entry &entry) {
+        return entry.near && entry.serves && now >= entry.unreachableUntil;
+    });
+}
+
 Assignment ServiceRouter::start(Entry &entry, core::TimePoint now, bool trial)
 {
     if (trial) {
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -57,7 +57,7 @@
     std::span<const core::TargetId> among;
     /** Within this the request should be answered; zero where nothing is said. */
     core::Duration objective{};
-    /** Whether only targets of this host's failure domain are asked for. */
+    /** Whether only targets of this host's failure domain are asked for, where it has any to turn to. */
     bool nearOnly = false;
 };
 
@@ -173,6 +173,7 @@
     std::optional<std::size_t> dueTrial(core::TimePoint now, const AssignTerms &terms);
     std::optional<std::size_t> pick(core::TimePoint now, const AssignTerms &terms);
     void gather(core::TimePoint now, const AssignTerms &terms);
+    bool hasNear(core::TimePoint now) const;
     Assignment start(Entry &entry, core::TimePoint now, bool trial);
     void erase(std::size_t position);
     void recount();
