--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -90,7 +90,7 @@
         m_metrics.beforeExposition([this](telemetry::Registry &metrics) {
             measure(metrics);
         });
-        const auto founded = found();
+        auto founded = found();
         if (!core::ok(founded)) {
             return founded;
         }
@@ -225,6 +225,7 @@
     std::vector<core::HostId> otherHosts()
     {
         std::vector<core::HostId> hosts;
+        hosts.reserve(m_followed.size());
         for (const auto &member : m_followed) {
             hosts.push_back(member.host);
         }
@@ -460,6 +461,7 @@
     std::vector<membership::Seat> seats(const consensus::Inspection &log) const
     {
         std::vector<membership::Seat> seats;
+        seats.reserve(log.members.voters.size());
         for (const auto &voter : log.members.voters) {
             seats.push_back({voter, silence(log, voter)});
         }
--- a/src/control/peers.cpp
+++ b/src/control/peers.cpp
@@ -56,6 +56,7 @@
 {
     const core::Lock lock(m_mutex);
     std::vector<core::HostId> hosts;
+    hosts.reserve(m_peers.size());
     for (const auto &[host, peer] : m_peers) {
         hosts.push_back(host);
     }
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -376,7 +376,7 @@
         // Of the others nothing is known at this moment: their load may have changed since they last told it.
         const auto told = thatTold(looked);
         terms.among = told;
-        const auto assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
+        auto assignment = m_parts.router.assign(run.service.name, m_parts.timers.now(), terms);
         for (auto &each : looked) {
             if (!each.look.connection) {
                 continue;
@@ -452,6 +452,7 @@
             return {};
         }
         std::vector<http::LookTarget> asked;
+        asked.reserve(chosen.size());
         for (const auto &target : chosen) {
             asked.push_back({target->id, target->address});
         }
@@ -461,6 +462,7 @@
                                   {run.service.healthPath, m_parts.terms.lookPatience, m_parts.marking});
         const auto now = m_parts.timers.now();
         std::vector<Looked> looked;
+        looked.reserve(chosen.size());
         for (std::size_t position = 0; position < chosen.size(); ++position) {
             if (looks[position].load) {
                 m_parts.router.noteReport(*chosen[position], *looks[position].load, now);
--- a/src/http/looks.cpp
+++ b/src/http/looks.cpp
@@ -142,6 +142,7 @@
 {
     const auto round = std::make_shared<Round>(exchange.stream().get_executor(), terms.marking);
     std::vector<std::shared_ptr<Question>> questions;
+    questions.reserve(targets.size());
     for (const auto &target : targets) {
         const auto endpoint = parseAddress(target.address);
         if (!core::ok(endpoint)) {
@@ -159,6 +160,7 @@
     }
     round->over = true;
     std::vector<Look> looks;
+    looks.reserve(questions.size());
     for (const auto &question : questions) {
         looks.push_back(question ? question->take() : Look{});
     }
--- a/tests/routing/nearintime.cpp
+++ b/tests/routing/nearintime.cpp
@@ -46,7 +46,7 @@
 {
     const auto assigned = router.assign(Start, within(objective));
     REQUIRE(core::ok(assigned));
-    const auto id = core::value(assigned).target->id;
+    auto id = core::value(assigned).target->id;
     router.release(core::value(assigned), {AttemptOutcome::Cancelled, {}, {}}, Start);
     return id;
 }
