Look up the usual time once an assignment, and make the product's marking once

Found on a read of the whole change: three locked look-ups of one figure an attempt, and seven hooks made anew for each attempt. Behaviour stays; decisions, hosts and the linter on the changed units passed.

--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -303,7 +303,7 @@
             }
         }
         const auto usual = m_parts.router.usualTime(service);
-        if (isLate(run, usual)) {
+        if (isLate(run, usual, m_parts.timers.now())) {
             return core::Error{ErrorCode::NoTarget, "no room for a request that is late already"};
         }
         auto turn = m_parts.waiting.wait(run.exchange, service, waitUntil(run, usual), usual);
@@ -321,9 +321,9 @@
     }
 
     /** How long an answer to @p run may take: until its objective, or its deadline where that can't be met any more. */
-    core::Duration timeToSpend(const Run &run, core::TimePoint now) const
+    static core::Duration timeToSpend(const Run &run, core::Duration usual, core::TimePoint now)
     {
-        const bool late = isLate(run, m_parts.router.usualTime(run.service.name));
+        const bool late = isLate(run, usual, now);
         const bool objective = run.route.objective > core::Duration{} && !late;
         return std::max(objective ? run.started + run.route.objective - now : run.terms.deadline - now,
                         core::Duration{1});
@@ -333,9 +333,8 @@
      * Whether @p run may go to another failure domain: not before it has waited for near targets for a part of the time
      * that it can spare, as their load shifts within a fraction of that.
      */
-    bool mayCross(const Run &run, core::TimePoint now) const
+    static bool mayCross(const Run &run, core::Duration usual, core::TimePoint now)
     {
-        const auto usual = m_parts.router.usualTime(run.service.name);
         if (!isReachable(run, usual)) {
             return true;
         }
@@ -349,9 +348,9 @@
     }
 
     /** Whether @p run can't meet its objective any more: what still can goes first, on every host. */
-    bool isLate(const Run &run, core::Duration usual) const
+    static bool isLate(const Run &run, core::Duration usual, core::TimePoint now)
     {
-        return isReachable(run, usual) && m_parts.timers.now() + usual > run.started + run.route.objective;
+        return isReachable(run, usual) && now + usual > run.started + run.route.objective;
     }
 
     /** When @p run should be answered at the latest to be worth a place in the line. */
@@ -370,8 +369,9 @@
         }
         routing::AssignTerms terms;
         terms.avoid = run.tried;
-        terms.objective = timeToSpend(run, now);
-        terms.nearOnly = !mayCross(run, now);
+        const auto usual = m_parts.router.usualTime(run.service.name);
+        terms.objective = timeToSpend(run, usual, now);
+        terms.nearOnly = !mayCross(run, usual, now);
         auto looked = lookAround(run, terms);
         // Of the others nothing is known at this moment: their load may have changed since they last told it.
         const auto told = thatTold(looked);
--- a/src/http/attempt.cpp
+++ b/src/http/attempt.cpp
@@ -32,6 +32,13 @@
     return std::chrono::duration_cast<asio::steady_timer::duration>(moment - core::steadyNow());
 }
 
+/** Made once: an attempt only calls it. */
+const Marking &productMarking()
+{
+    static const auto marking = ownMarking();
+    return marking;
+}
+
 bool closedByPeer(const beast::error_code &failure)
 {
     return failure == message::error::end_of_stream || failure == asio::error::eof
@@ -43,8 +50,7 @@
 Attempt::Attempt(Exchange &exchange, const RelayTerms &terms, std::unique_ptr<TargetConnection> connection)
     : m_exchange(exchange)
     , m_terms(terms)
-    , m_ownMarking(terms.marking == nullptr ? ownMarking() : Marking())
-    , m_marking(terms.marking == nullptr ? m_ownMarking : *terms.marking)
+    , m_marking(terms.marking == nullptr ? productMarking() : *terms.marking)
     , m_connection(std::move(connection))
     , m_caller(exchange.stream())
     , m_yield(exchange.yield())
--- a/src/http/attempt.h
+++ b/src/http/attempt.h
@@ -70,7 +70,6 @@
 
     Exchange &m_exchange;
     const RelayTerms &m_terms;
-    const Marking m_ownMarking;
     const Marking &m_marking;
     /** As it was sent. */
     RequestHead m_head;
