Tell less between domains, pack files, and assume work from objectives

Control hosts told each other what they had been told, each target's announcement went out by itself, entry hosts that start before their near control host stayed with a far one for 5 s. In the first seconds slow targets got requests, as a host without an ended request took any target.

Change: control hosts tell peers only what they heard themselves; news of hosts and targets is told each 100 ms; newcomers are led to a near control host; files travel packed by zstd, as the difference where the asker's version is known; a call's time-out doubles while all control hosts fail; work is assumed to take a part of the objective until requests have ended.

Ruled out: requests that cross (the bytes came before traffic).

--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -7,6 +7,7 @@
 #include "membership/hub.h"
 #include "routing/router.h"
 #include "rpc/codec.h"
+#include "rpc/packing.h"
 #include "samples.h"
 #include "targets/targettable.h"
 #include "telemetry/process.h"
@@ -112,7 +113,7 @@
                 static_cast<double>(replyOf(hub->newsSince(0, membership::Audience::EntryHosts)).ByteSizeLong()));
     results.add(Measure::FeedAnswerCpu, size, cpuMicros([&]() {
                     auto &word = words[next++ % size];
-                    const auto position = hub->position();
+                    const auto position = hub->position(membership::Audience::EntryHosts);
                     ++word.word.sequence;
                     hub->learn(word);
                     replyOf(hub->newsSince(position, membership::Audience::EntryHosts)).SerializeAsString();
@@ -167,7 +168,8 @@
     changes::Ledger ledger;
     ledger.apply(changes::ApplyFile{core::ChangeId("1"), text});
     rpc::FollowReply reply;
-    rpc::encode(ledger.standing(), 0, *reply.mutable_standing());
+    rpc::encode(ledger.standing(), *reply.mutable_standing());
+    reply.mutable_standing()->set_packed_text(rpc::pack(ledger.standing().text));
     results.add(Measure::StandingBytes, size, static_cast<double>(reply.ByteSizeLong()));
     results.add(Measure::StandingDecodeCpu, size, cpuMicros([&]() {
                     rpc::decode(reply.standing(), nullptr, configuration::parse);
--- a/src/configuration/model.cpp
+++ b/src/configuration/model.cpp
@@ -37,6 +37,21 @@
     return found == configuration.services.end() ? nullptr : &*found;
 }
 
+core::Duration leastObjective(const Configuration &configuration, const core::ServiceName &service)
+{
+    core::Duration least{};
+    for (const auto &route : configuration.routes) {
+        const bool leads = std::any_of(route.shares.begin(), route.shares.end(), [&service](const RouteShare &share) {
+            return share.service == service;
+        });
+        const bool shorter = least == core::Duration{} || route.objective < least;
+        if (leads && route.objective > core::Duration{} && shorter) {
+            least = route.objective;
+        }
+    }
+    return least;
+}
+
 bool isIdempotent(const Route &route, const Service &service, std::string_view method)
 {
     const auto &methods = service.idempotentMethods;
--- a/src/configuration/model.h
+++ b/src/configuration/model.h
@@ -172,6 +172,9 @@
 /** The route of @p hostName with the longest path prefix that @p path starts with, or nullptr. */
 const Route *findRoute(const Configuration &configuration, std::string_view hostName, std::string_view path);
 
+/** The shortest objective of the routes that lead to @p service; zero where none has one. */
+core::Duration leastObjective(const Configuration &configuration, const core::ServiceName &service);
+
 /** The route that the path prefix of @p service stands for. */
 Route routeOf(const Service &service);
 
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -32,6 +32,8 @@
 {
 
 constexpr auto ServePeriod = std::chrono::milliseconds(50);
+/** News of hosts and targets is told together: a twentieth of the two seconds within which a target must have left. */
+constexpr auto NewsPeriod = std::chrono::milliseconds(100);
 /** An entry host asks at least each second. */
 constexpr auto SilentPeriod = std::chrono::seconds(3);
 /** Between the questions whether this host is still current, which a quorum answers. */
@@ -67,9 +69,6 @@
                      settings.id,
                      [this](const targets::Target &target) {
                          return m_state.asWithdrawn(target);
-                     },
-                     [this]() {
-                         serveSoon();
                      }})
         , m_peers(settings.peers, settings.addressOf)
         , m_pool(settings.workers)
@@ -78,6 +77,7 @@
                       return m_state.standing();
                   },
                   m_hub,
+                  settings.domain,
                   makeSeed(),
                   [this]() {
                       return controlHosts();
@@ -170,7 +170,8 @@
         };
         hooks.applied = [this]() {
             m_pool.post([this]() {
-                serve();
+                m_leaderDesk->serve();
+                m_desk.serve(m_timers.now(), FollowDesk::News::Standing);
             });
         };
         hooks.now = core::steadyNow;
@@ -243,10 +244,7 @@
                               m_hub,
                               {m_settings.id, m_settings.rpcListen, m_settings.domain},
                               [this](const targets::Target &target) {
-                                  return m_targets.learn(target);
-                              },
-                              [this]() {
-                                  serveSoon();
+                                  m_targets.learn(target, membership::Teller::Peer);
                               },
                               [this](const core::HostId &silent) {
                                   m_targets.adoptLeases(silent, m_timers.now() + targetLease());
@@ -296,7 +294,6 @@
             }
         }
         m_hub.touchHosts();
-        serveSoon();
     }
 
     core::Duration targetLease() const
@@ -358,7 +355,7 @@
         hooks.follow = [this](const rpc::FollowRequest &request, const rpc::Respond<rpc::FollowReply> &respond) {
             if (request.peer()) {
                 hearPeer(core::HostId(request.host().id()), core::FailureDomain(request.host().domain()));
-            } else {
+            } else if (!m_desk.isRedirected(request)) {
                 m_hub.hear(rpc::decode(request.host()), m_timers.now());
             }
             count(telemetry::ControlMessage::FollowRequest, telemetry::Direction::In, request);
@@ -567,14 +564,6 @@
                 core::log(core::LogLevel::Warning, "report-malformed", {{"error", describe(core::error(target))}});
             }
         }
-        serveSoon();
-    }
-
-    void serveSoon()
-    {
-        m_pool.post([this]() {
-            m_desk.serve(m_timers.now());
-        });
     }
 
     void serve()
@@ -588,7 +577,16 @@
         serveFeeds();
         serveJoining(now);
         serveConfirming(now);
-        m_desk.serve(now);
+        serveNews(now);
+    }
+
+    void serveNews(core::TimePoint now)
+    {
+        const bool all = now >= m_newsAt;
+        if (all) {
+            m_newsAt = now + NewsPeriod;
+        }
+        m_desk.serve(now, all ? FollowDesk::News::All : FollowDesk::News::Standing);
     }
 
     const ControlSettings m_settings;
@@ -603,6 +601,7 @@
     /** Of the serve timer alone. */
     core::TimePoint m_confirmAt{};
     core::TimePoint m_joinAt{};
+    core::TimePoint m_newsAt{};
     std::vector<consensus::MemberId> m_followed;
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
     std::map<core::HostId, core::FailureDomain> m_domains;
--- a/src/control/followdesk.cpp
+++ b/src/control/followdesk.cpp
@@ -31,7 +31,9 @@
                       core::TimePoint now)
 {
     noteAsk(request);
-    if (hasNews(request) || !hold({request, respond, now + std::chrono::milliseconds(request.hold_ms())})) {
+    // Who is new here needs everything at once.
+    const auto news = request.feed_id() == m_sources.feedId ? News::Standing : News::All;
+    if (hasNews(request, news) || !hold({request, respond, now + std::chrono::milliseconds(request.hold_ms())})) {
         respond(answer(request));
     }
 }
@@ -58,7 +60,7 @@
         const core::Lock lock(m_mutex);
         m_closed = true;
     }
-    serve(core::TimePoint::max());
+    serve(core::TimePoint::max(), News::All);
 }
 
 void FollowDesk::confirm(const Asks &asks)
@@ -93,15 +95,16 @@
     return found == m_confirmed.end() ? 0 : found->second;
 }
 
-void FollowDesk::serve(core::TimePoint now)
+void FollowDesk::serve(core::TimePoint now, News news)
 {
+    m_packer.note(m_sources.standing());
     std::vector<Held> due;
     {
         const core::Lock lock(m_mutex);
         due.swap(m_held);
     }
-    const auto isDue = [this, now](const Held &held) {
-        return held.until <= now || hasNews(held.request);
+    const auto isDue = [this, now, news](const Held &held) {
+        return held.until <= now || hasNews(held.request, news);
     };
     const auto firstKept = std::partition(due.begin(), due.end(), isDue);
     std::for_each(due.begin(), firstKept, [this](Held &held) {
@@ -114,20 +117,47 @@
     });
 }
 
-bool FollowDesk::hasNews(const rpc::FollowRequest &request) const
+bool FollowDesk::hasNews(const rpc::FollowRequest &request, News news) const
 {
-    return m_sources.standing()->revision > request.revision() || m_sources.hub.position() > positionOf(request);
+    if (m_sources.standing()->revision > request.revision()) {
+        return true;
+    }
+    return news == News::All && m_sources.hub.position(audienceOf(request)) > positionOf(request);
+}
+
+bool FollowDesk::isRedirected(const rpc::FollowRequest &request) const
+{
+    if (request.peer() || request.stays() || request.feed_id() == m_sources.feedId
+        || request.host().domain() == m_sources.domain.str()) {
+        return false;
+    }
+    const auto hosts = m_sources.controlHosts();
+    return std::any_of(hosts.begin(), hosts.end(), [&request](const membership::ControlHost &host) {
+        return host.domain.str() == request.host().domain();
+    });
+}
+
+void FollowDesk::addControlHosts(rpc::FollowReply &reply) const
+{
+    for (const auto &host : m_sources.controlHosts()) {
+        rpc::encode(host, *reply.add_control_hosts());
+    }
 }
 
 rpc::FollowReply FollowDesk::answer(const rpc::FollowRequest &request) const
 {
     rpc::FollowReply reply;
+    if (isRedirected(request)) {
+        reply.set_redirected(true);
+        addControlHosts(reply);
+        return reply;
+    }
     // Read before the standing, which so covers at least what was confirmed.
     reply.set_confirmed_ask(confirmedAsk(request));
     const auto standing = m_sources.standing();
     reply.set_revision(standing->revision);
     if (standing->revision > request.revision()) {
-        rpc::encode(*standing, request.version(), *reply.mutable_standing());
+        addStanding(standing, request.version(), *reply.mutable_standing());
     }
     const auto news = m_sources.hub.newsSince(positionOf(request), audienceOf(request));
     reply.set_feed_id(m_sources.feedId);
@@ -140,13 +170,24 @@
         rpc::encode(host, *reply.add_hosts());
     }
     if (news.hostsChanged && !request.peer()) {
-        for (const auto &host : m_sources.controlHosts()) {
-            rpc::encode(host, *reply.add_control_hosts());
-        }
+        addControlHosts(reply);
     }
     return reply;
 }
 
+void FollowDesk::addStanding(const FilePacker::StandingRef &standing,
+                             std::uint64_t knownVersion,
+                             rpc::Standing &message) const
+{
+    rpc::encode(*standing, message);
+    if (standing->version == knownVersion) {
+        return;
+    }
+    auto file = m_packer.pack(standing, knownVersion);
+    message.set_packed_text(std::move(file.bytes));
+    message.set_basis_version(file.basis);
+}
+
 std::uint64_t FollowDesk::positionOf(const rpc::FollowRequest &request) const
 {
     return request.feed_id() == m_sources.feedId ? request.feed_position() : 0;
--- a/src/control/followdesk.h
+++ b/src/control/followdesk.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "control/filepacker.h"
 #include "changes/ledger.h"
 #include "core/rankedmutex.h"
 #include "core/time.h"
@@ -20,14 +21,26 @@
 namespace pimentoshed::control
 {
 
-/** Answers each call once: at the first change after it, or when its hold ends. Thread-safe; rank Connections. */
+/**
+ * Answers each call once: at the first change after it, or when its hold ends. Many targets and hosts change together,
+ * so that their news waits to be told together; a new standing doesn't. A newcomer is led to a control host of its own
+ * failure domain where there is one. Thread-safe; rank Connections.
+ */
 class FollowDesk
 {
 public:
+    /** What a call may be answered for. */
+    enum class News : std::uint8_t {
+        Standing,
+        /** That, and what changed of hosts and targets. */
+        All,
+    };
+
     /** Where the desk reads what is new. */
     struct Sources {
         std::function<std::shared_ptr<const changes::Standing>()> standing;
         const membership::Hub &hub;
+        core::FailureDomain domain;
         std::uint64_t feedId = 0;
         /** The control hosts that may be followed. */
         std::function<std::vector<membership::ControlHost>()> controlHosts;
@@ -44,8 +57,11 @@
     /** The latest call of each entry host, by its id and incarnation. */
     Asks asks() const;
 
-    /** Answers the calls that something new concerns, and those whose hold ended by @p now. */
-    void serve(core::TimePoint now);
+    /** Answers the calls that @p news concerns, and those whose hold ended by @p now. */
+    void serve(core::TimePoint now, News news);
+
+    /** Whether the asking host is new here and is to follow a control host of its own failure domain instead. */
+    bool isRedirected(const rpc::FollowRequest &request) const;
 
     /** Answers every call held, and from now on each at once. */
     void close();
@@ -62,10 +78,12 @@
     /** Keeps the call unless the desk is closed. Whether it was kept. */
     bool hold(const Held &held);
     void noteAsk(const rpc::FollowRequest &request);
-    bool hasNews(const rpc::FollowRequest &request) const;
+    bool hasNews(const rpc::FollowRequest &request, News news) const;
+    void addControlHosts(rpc::FollowReply &reply) const;
     rpc::FollowReply answer(const rpc::FollowRequest &request) const;
     std::uint64_t confirmedAsk(const rpc::FollowRequest &request) const;
     std::uint64_t positionOf(const rpc::FollowRequest &request) const;
+    void addStanding(const FilePacker::StandingRef &standing, std::uint64_t knownVersion, rpc::Standing &message) const;
 
     const Sources m_sources;
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
@@ -73,6 +91,7 @@
     Asks m_asks;
     Asks m_confirmed;
     bool m_closed = false;
+    mutable FilePacker m_packer;
 };
 
 } // namespace pimentoshed::control
--- a/src/control/peerfeed.cpp
+++ b/src/control/peerfeed.cpp
@@ -84,11 +84,10 @@
 
 void PeerFeed::adopt(const rpc::FollowReply &reply)
 {
-    bool changed = false;
     for (const auto &message : reply.targets()) {
         const auto target = rpc::decode(message);
         if (core::ok(target)) {
-            changed = m_parts.learn(core::value(target)) || changed;
+            m_parts.learn(core::value(target));
         }
     }
     if (reply.hosts_changed()) {
@@ -97,13 +96,10 @@
         for (const auto &host : reply.hosts()) {
             hosts.push_back(rpc::decode(host));
         }
-        changed = m_parts.hub.hearFrom(m_peer, hosts) || changed;
+        m_parts.hub.hearFrom(m_peer, hosts);
     }
     m_feedId = reply.feed_id();
     m_feedPosition = reply.feed_position();
-    if (changed) {
-        m_parts.news();
-    }
 }
 
 void PeerFeed::askLater()
--- a/src/control/peerfeed.h
+++ b/src/control/peerfeed.h
@@ -28,10 +28,8 @@
         membership::Hub &hub;
         /** This host as others are to know it. */
         membership::ControlHost self;
-        /** Takes a target's word; whether it was new. */
-        std::function<bool(const targets::Target &)> learn;
-        /** Called after something new came. */
-        std::function<void()> news;
+        /** Takes a target's word. */
+        std::function<void(const targets::Target &)> learn;
         /** Called where the other has been silent for so long that what it alone knew is forgotten. */
         std::function<void(const core::HostId &)> silent;
     };
--- a/src/control/targetdesk.cpp
+++ b/src/control/targetdesk.cpp
@@ -28,31 +28,28 @@
         if (const auto known = m_table.find(target.id)) {
             m_parts.hub.learn(*known);
         }
-        m_parts.news();
     }
     return reception;
 }
 
-bool TargetDesk::learn(const targets::Target &target)
+bool TargetDesk::learn(const targets::Target &target, membership::Teller teller)
 {
     const auto reception = m_table.learn(m_parts.asWithdrawn(target));
     if (reception != targets::Reception::Changed && reception != targets::Reception::Reasserted) {
         return false;
     }
     const auto known = m_table.find(target.id);
-    return known && m_parts.hub.learn(*known);
+    // A word that this host sets right is its own.
+    const bool own = reception == targets::Reception::Reasserted;
+    return known && m_parts.hub.learn(*known, own ? membership::Teller::Own : teller);
 }
 
 void TargetDesk::expire(core::TimePoint now)
 {
-    const auto expired = m_table.expire(now);
-    for (const auto &target : expired) {
+    for (const auto &target : m_table.expire(now)) {
         core::log(core::LogLevel::Warning, "target-lease-ended", {{"target", target.id.str()}});
         m_parts.hub.learn(target);
     }
-    if (!expired.empty()) {
-        m_parts.news();
-    }
 }
 
 void TargetDesk::adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd)
--- a/src/control/targetdesk.h
+++ b/src/control/targetdesk.h
@@ -22,8 +22,6 @@
         core::HostId self;
         /** A target as it may be known, given the withdrawals. */
         std::function<targets::Target(const targets::Target &)> asWithdrawn;
-        /** Called after something new came. */
-        std::function<void()> news;
     };
 
     explicit TargetDesk(Parts parts);
@@ -31,8 +29,8 @@
     /** Takes @p target's own announcement, with a lease until @p leaseEnd. */
     targets::Reception announce(targets::Target target, core::TimePoint leaseEnd);
 
-    /** Takes what another host says of a target. Whether it was new. */
-    bool learn(const targets::Target &target);
+    /** Takes what @p teller says of a target. Whether it was new. */
+    bool learn(const targets::Target &target, membership::Teller teller = membership::Teller::Own);
 
     /** Ends the leases that have run out. */
     void expire(core::TimePoint now);
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -17,12 +17,14 @@
 /** News end a hold at once; its length bounds only how long a silent control host goes unnoticed. */
 constexpr auto Hold = std::chrono::milliseconds(800);
 constexpr auto FollowTimeout = std::chrono::milliseconds(1200);
+/** Where every control host has failed in time, a narrow link may be why: each round then waits twice as long. */
+constexpr std::size_t MostDoublings = 3;
 constexpr auto ReportTimeout = std::chrono::milliseconds(500);
 constexpr auto RetryDelay = std::chrono::milliseconds(100);
 /** Another control host is tried where this one confirms nothing for so long. */
 constexpr auto ConfirmPatience = std::chrono::milliseconds(2200);
-/** After a change of control hosts, before a nearer one is tried again. */
-constexpr auto StayAfterFailure = std::chrono::seconds(5);
+/** After a control host failed, before it is preferred again: a frozen one would take each call's time-out. */
+constexpr auto AvoidAfterFailure = std::chrono::seconds(5);
 constexpr std::size_t AsksKept = 64;
 
 } // namespace
@@ -73,13 +75,20 @@
     request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
     request.set_ask(noteAsked());
     m_parts.traffic(telemetry::ControlMessage::FollowRequest, telemetry::Direction::Out, request.ByteSizeLong());
-    client()->follow(request, FollowTimeout, [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
+    client()->follow(request, followTimeout(), [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
         self->m_parts.pool.post([self, reply = std::move(reply)]() {
             self->take(reply);
         });
     });
 }
 
+core::Duration Follower::followTimeout() const
+{
+    const core::Lock lock(m_mutex);
+    const auto rounds = std::min(m_failures / m_controls.size(), MostDoublings);
+    return FollowTimeout * (1U << rounds);
+}
+
 void Follower::tell()
 {
     // The reply brings nothing that the call held beside it doesn't bring.
@@ -92,9 +101,10 @@
     rpc::encode(m_parts.self(), *request.mutable_host());
     const auto standing = m_parts.view.latest();
     request.set_revision(standing ? standing->revision : 0);
-    request.set_version(standing ? standing->version : 0);
+    request.set_version(standing && !m_wantsWhole ? standing->version : 0);
     request.set_feed_id(m_feedId);
     request.set_feed_position(m_feedPosition);
+    request.set_stays(avoidsNear());
     return request;
 }
 
@@ -119,8 +129,14 @@
         later(RetryDelay, &Follower::ask);
         return;
     }
+    noteAnswer();
     m_parts.traffic(
         telemetry::ControlMessage::FollowReply, telemetry::Direction::In, core::value(reply).ByteSizeLong());
+    if (core::value(reply).redirected()) {
+        adoptControlHosts(core::value(reply));
+        ask();
+        return;
+    }
     adopt(core::value(reply));
     m_parts.afterReply();
     if (unconfirmedForLong()) {
@@ -166,6 +182,8 @@
     auto standing = rpc::decode(reply.standing(), known.get(), m_parts.parser);
     if (!core::ok(standing)) {
         core::log(core::LogLevel::Error, "standing-refused", {{"error", core::describe(core::error(standing))}});
+        // It may lean on what this host has not got.
+        m_wantsWhole = true;
         return false;
     }
     auto &adopted = core::value(standing);
@@ -175,6 +193,7 @@
         core::log(
             core::LogLevel::Info, "standing-adopted", {{"revision", adopted.revision}, {"version", adopted.version}});
         m_parts.view.adopt(std::move(adopted));
+        m_wantsWhole = false;
     }
     return true;
 }
@@ -195,7 +214,8 @@
         controls.push_back(
             {host.address,
              host.domain,
-             known == m_controls.end() ? std::make_shared<rpc::ControlClient>(host.address) : known->client});
+             known == m_controls.end() ? std::make_shared<rpc::ControlClient>(host.address) : known->client,
+             known == m_controls.end() ? core::TimePoint{} : known->avoidUntil});
     }
     m_controls = std::move(controls);
     m_chosen = 0;
@@ -219,15 +239,26 @@
     }
 }
 
+bool Follower::avoidsNear() const
+{
+    const auto domain = m_parts.self().domain;
+    const auto now = m_parts.timers.now();
+    const core::Lock lock(m_mutex);
+    return std::any_of(m_controls.begin(), m_controls.end(), [&](const Control &control) {
+        return control.domain == domain && control.avoidUntil > now;
+    });
+}
+
 void Follower::preferNear()
 {
     const auto domain = m_parts.self().domain;
+    const auto now = m_parts.timers.now();
     const core::Lock lock(m_mutex);
-    if (m_parts.timers.now() < m_stayUntil || m_controls[m_chosen].domain == domain) {
+    if (m_controls[m_chosen].domain == domain) {
         return;
     }
     for (std::size_t position = 0; position < m_controls.size(); ++position) {
-        if (m_controls[position].domain == domain) {
+        if (m_controls[position].domain == domain && m_controls[position].avoidUntil <= now) {
             m_chosen = position;
             return;
         }
@@ -327,13 +358,22 @@
     later(RetryDelay, &Follower::sendReports);
 }
 
+void Follower::noteAnswer()
+{
+    const core::Lock lock(m_mutex);
+    m_answered = true;
+    m_failures = 0;
+}
+
 void Follower::moveOn()
 {
     const core::Lock lock(m_mutex);
     m_lastConfirmed = m_parts.timers.now();
-    m_stayUntil = m_lastConfirmed + StayAfterFailure;
-    // Its connection may be silent for good.
+    ++m_failures;
     auto &left = m_controls[m_chosen];
+    // Hosts that start together refuse calls until they are up: no reason to avoid one afterwards.
+    left.avoidUntil = m_answered ? m_lastConfirmed + AvoidAfterFailure : m_lastConfirmed;
+    // Its connection may be silent for good.
     left.client = std::make_shared<rpc::ControlClient>(left.address);
     m_chosen = (m_chosen + 1) % m_controls.size();
 }
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -62,6 +62,8 @@
         std::string address;
         core::FailureDomain domain;
         std::shared_ptr<rpc::ControlClient> client;
+        /** Until then it is not preferred, as it has failed. */
+        core::TimePoint avoidUntil{};
     };
 
     void ask();
@@ -80,21 +82,30 @@
     void reportAllOwn();
     void sendReports();
     void reportEnded(const std::vector<targets::Target> &sent, bool arrived);
+    core::Duration followTimeout() const;
+    void noteAnswer();
+    /** Turns to another control host, and for a while not back to this one. */
     void moveOn();
+    /** Whether the control host of the own failure domain, if any is known, has just failed. */
+    bool avoidsNear() const;
     bool adoptStanding(const rpc::FollowReply &reply);
     void later(core::Duration delay, void (Follower::*step)());
     std::shared_ptr<rpc::ControlClient> client() const;
 
     const Parts m_parts;
     std::atomic<bool> m_stopped{false};
+    /** Whether a file could not be read that leaned on the one in force. */
+    std::atomic<bool> m_wantsWhole{false};
     std::atomic<std::uint64_t> m_feedId{0};
     std::atomic<std::uint64_t> m_feedPosition{0};
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
     /** Never empty. */
     std::vector<Control> m_controls;
     std::size_t m_chosen = 0;
-    /** Until then no other control host is preferred over the one followed. */
-    core::TimePoint m_stayUntil{};
+    /** Whether any control host has answered. */
+    bool m_answered = false;
+    /** Calls in a row that failed. */
+    std::size_t m_failures = 0;
     /** When each call that is not yet confirmed was made. */
     std::map<std::uint64_t, core::TimePoint> m_asked;
     std::uint64_t m_lastAsk = 0;
--- a/src/membership/hub.cpp
+++ b/src/membership/hub.cpp
@@ -17,7 +17,7 @@
     const bool changed = isNew || entry.host != host;
     entry = {host, now};
     if (changed) {
-        noteHostsChanged();
+        noteHostsChanged(Teller::Own);
     }
     return changed;
 }
@@ -30,7 +30,7 @@
         return false;
     }
     known = hosts;
-    noteHostsChanged();
+    noteHostsChanged(Teller::Peer);
     return true;
 }
 
@@ -38,20 +38,23 @@
 {
     const core::Lock lock(m_mutex);
     if (m_sources.erase(source) > 0) {
-        noteHostsChanged();
+        noteHostsChanged(Teller::Peer);
     }
 }
 
-bool Hub::learn(const targets::Target &target)
+bool Hub::learn(const targets::Target &target, Teller teller)
 {
     const core::Lock lock(m_mutex);
-    const auto [position, isNew] = m_targets.try_emplace(target.id, TargetEntry{target, 0});
+    const auto [position, isNew] = m_targets.try_emplace(target.id, TargetEntry{target, 0, teller});
     auto &entry = position->second;
     if (!isNew && (target.word < entry.target.word || target == entry.target)) {
         return false;
     }
     m_order.erase(entry.position);
-    entry = {target, ++m_position};
+    entry = {target, ++m_position, teller};
+    if (teller == Teller::Own) {
+        m_peersPosition = m_position;
+    }
     m_order.emplace(entry.position, target.id);
     return true;
 }
@@ -63,7 +66,7 @@
         return entry.second.heard < before;
     });
     if (count > 0) {
-        noteHostsChanged();
+        noteHostsChanged(Teller::Own);
     }
     return count > 0;
 }
@@ -74,9 +77,12 @@
     FeedNews news;
     news.position = m_position;
     for (auto entry = m_order.upper_bound(position); entry != m_order.end(); ++entry) {
-        news.targets.push_back(m_targets.at(entry->second).target);
+        const auto &known = m_targets.at(entry->second);
+        if (audience == Audience::EntryHosts || known.teller == Teller::Own) {
+            news.targets.push_back(known.target);
+        }
     }
-    news.hostsChanged = m_hostsPosition > position;
+    news.hostsChanged = (audience == Audience::Peers ? m_ownHostsPosition : m_hostsPosition) > position;
     if (news.hostsChanged) {
         news.hosts = knownTo(audience);
     }
@@ -86,13 +92,13 @@
 void Hub::touchHosts()
 {
     const core::Lock lock(m_mutex);
-    noteHostsChanged();
+    noteHostsChanged(Teller::Peer);
 }
 
-std::uint64_t Hub::position() const
+std::uint64_t Hub::position(Audience audience) const
 {
     const core::Lock lock(m_mutex);
-    return m_position;
+    return audience == Audience::Peers ? m_peersPosition : m_position;
 }
 
 std::vector<EntryHost> Hub::hosts() const
@@ -134,9 +140,13 @@
     return found;
 }
 
-void Hub::noteHostsChanged()
+void Hub::noteHostsChanged(Teller teller)
 {
     m_hostsPosition = ++m_position;
+    if (teller == Teller::Own) {
+        m_ownHostsPosition = m_position;
+        m_peersPosition = m_position;
+    }
 }
 
 std::size_t Hub::targetCount(targets::Condition condition) const
--- a/src/membership/hub.h
+++ b/src/membership/hub.h
@@ -22,10 +22,18 @@
 enum class Audience : std::uint8_t {
     /** Is told of all entry hosts. */
     EntryHosts,
-    /** Another control host: is told of the entry hosts that this one hears itself. */
+    /** Another control host: is told of the entry hosts and targets that this one hears itself. */
     Peers,
 };
 
+/** Who told this host of a target. */
+enum class Teller : std::uint8_t {
+    /** The target itself, an entry host, the log, or the end of a lease that this host kept. */
+    Own,
+    /** Another control host, which tells all others too. */
+    Peer,
+};
+
 /** What has changed since a position in the feed. */
 struct FeedNews {
     std::uint64_t position = 0;
@@ -51,7 +59,7 @@
     void forgetSource(const core::HostId &source);
 
     /** Takes @p target's word. Whether it was new. */
-    bool learn(const targets::Target &target);
+    bool learn(const targets::Target &target, Teller teller = Teller::Own);
 
     /** Forgets the hosts not heard from since @p before. Whether there were any. */
     bool forgetSilent(core::TimePoint before);
@@ -62,7 +70,8 @@
     /** Notes that what is told of hosts beside this hub's own has changed. */
     void touchHosts();
 
-    std::uint64_t position() const;
+    /** The latest change that concerns @p audience. */
+    std::uint64_t position(Audience audience) const;
     /** Every entry host that is heard, here or at another control host. */
     std::vector<EntryHost> hosts() const;
     std::size_t targetCount() const;
@@ -77,14 +86,19 @@
     struct TargetEntry {
         targets::Target target;
         std::uint64_t position = 0;
+        Teller teller = Teller::Own;
     };
 
     std::vector<EntryHost> knownTo(Audience audience) const;
-    void noteHostsChanged();
+    /** Numbers a change of the entry hosts; peers hear of those that @p teller told. */
+    void noteHostsChanged(Teller teller);
 
     mutable core::RankedMutex m_mutex{core::LockRank::Membership};
     std::uint64_t m_position = 0;
     std::uint64_t m_hostsPosition = 0;
+    /** Of the latest change of the hosts that this one hears itself, and of anything that it tells its peers. */
+    std::uint64_t m_ownHostsPosition = 0;
+    std::uint64_t m_peersPosition = 0;
     std::map<core::HostId, HostEntry> m_hosts;
     std::map<core::HostId, std::vector<EntryHost>> m_sources;
     std::unordered_map<core::TargetId, TargetEntry> m_targets;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -21,13 +21,13 @@
         m_configuration = configuration;
     }
     for (const auto &service : configuration->services) {
-        configureService(service);
+        configureService(service, configuration::leastObjective(*configuration, service.name));
     }
     retireOthers(*configuration);
     return true;
 }
 
-void Router::configureService(const configuration::Service &service)
+void Router::configureService(const configuration::Service &service, core::Duration objective)
 {
     std::shared_ptr<Guarded> guarded;
     {
@@ -36,12 +36,14 @@
         if (!known) {
             known = std::make_shared<Guarded>(ServiceRouter(service, m_ownDomain, m_hooks));
             known->router.setOutDomains(m_outDomains);
+            known->router.assumeObjective(objective);
             return;
         }
         guarded = known;
     }
     const core::Lock lock(guarded->mutex);
     guarded->router.configure(service);
+    guarded->router.assumeObjective(objective);
     guarded->retired = false;
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -78,7 +78,7 @@
         bool retired = false;
     };
 
-    void configureService(const configuration::Service &service);
+    void configureService(const configuration::Service &service, core::Duration objective);
     void retireOthers(const configuration::Configuration &configuration);
 
     std::shared_ptr<Guarded> find(const core::ServiceName &service) const;
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned TrialsUntilCold = 4;
 /** How far one sample moves a moving mean: some forty samples decide. */
 constexpr double EstimateStep = 0.05;
+/** Objectives leave room for work that takes twice or three times as long as usual. */
+constexpr double WorkOfObjective = 0.4;
 /** A report of a target's load says nothing any more after this: shared machines change within some 150 ms. */
 constexpr core::Duration ReportMemory = std::chrono::milliseconds(300);
 /** A report that is older may be out of date: a fraction of the time within which speeds change. */
@@ -83,6 +85,11 @@
     m_service = service;
 }
 
+void ServiceRouter::assumeObjective(core::Duration objective)
+{
+    m_work.assume(core::Duration(static_cast<std::int64_t>(static_cast<double>(objective.count()) * WorkOfObjective)));
+}
+
 void ServiceRouter::update(const targets::Target &target)
 {
     const auto [position, isNew] = m_positions.try_emplace(target.id, m_entries.size());
@@ -231,7 +238,7 @@
 
 core::Duration ServiceRouter::usualTime() const
 {
-    return core::Duration(static_cast<std::int64_t>(m_usualWork));
+    return core::Duration(static_cast<std::int64_t>(m_work.usual()));
 }
 
 const LatencyEstimate &ServiceRouter::latency() const
@@ -304,8 +311,7 @@
     if (answered) {
         m_latency.add(end.latency);
         if (attempt.unqueued) {
-            const auto work = static_cast<double>(end.latency.count()) / std::max(attempt.slowness, 1.0);
-            m_usualWork = m_usualWork == 0 ? work : m_usualWork + (work - m_usualWork) * EstimateStep;
+            m_work.add(end.latency, attempt.slowness);
         }
         (entry.near ? m_nearLatency : m_farLatency).add(end.latency);
     }
@@ -417,7 +423,7 @@
     // Equal targets differ a little by their load, so that work spreads before any is full.
     constexpr double SpreadShare = 0.1;
     return core::Duration(
-        static_cast<std::int64_t>(m_usualWork * (own * (1 + SpreadShare * load / room) + m_usualSlowness * queued)));
+        static_cast<std::int64_t>(m_work.usual() * (own * (1 + SpreadShare * load / room) + m_usualSlowness * queued)));
 }
 
 /**
@@ -429,11 +435,12 @@
                             const AssignTerms &terms,
                             core::TimePoint now) const
 {
-    if (m_usualWork == 0) {
+    if (!m_work.known()) {
         return true;
     }
-    // What was said a while ago rules nobody out: the target can be asked again.
-    const bool fresh = entry.report && now - entry.reportedAt <= FreshReport;
+    // What was said a while ago rules nobody out that can be asked again; those that are named have just been asked.
+    const auto valid = terms.among.empty() ? FreshReport : ReportMemory;
+    const bool fresh = entry.report && now - entry.reportedAt <= valid;
     const bool inTime = terms.objective == core::Duration{} || !fresh || candidate.chance >= LeastChance;
     return inTime && estimatedLoad(entry, now) < slots(entry);
 }
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -11,6 +11,7 @@
 #include "routing/latency.h"
 #include "routing/picker.h"
 #include "routing/suspicion.h"
+#include "routing/workestimate.h"
 #include "targets/target.h"
 
 #include <cstdint>
@@ -90,6 +91,9 @@
 
     void configure(const configuration::Service &service);
 
+    /** Has the work be taken for a part of @p objective, until requests have ended; zero says nothing. */
+    void assumeObjective(core::Duration objective);
+
     /** Takes the newest word of a target. One that is gone goes once its last request has ended. */
     void update(const targets::Target &target);
 
@@ -187,8 +191,8 @@
     LatencyEstimate m_latency;
     LatencyEstimate m_nearLatency;
     LatencyEstimate m_farLatency;
-    /** Of work that starts at once at a target of usual speed, in nanoseconds. */
-    double m_usualWork = 0;
+    /** Of work that starts at once. */
+    WorkEstimate m_work;
     double m_usualSlowness = 1;
     std::uint64_t m_nextAttempt = 1;
     std::size_t m_serving = 0;
--- /dev/null
+++ b/src/routing/workestimate.cpp
@@ -0,0 +1,44 @@
+#include "routing/workestimate.h"
+
+#include <algorithm>
+
+namespace pimentoshed::routing
+{
+
+namespace
+{
+
+/** How far one sample moves the estimate at least: some forty samples decide. */
+constexpr double LeastStep = 0.05;
+/** Requests that weigh as much as an assumption: the first ones may all be unusual. */
+constexpr double AssumptionWeight = 2;
+
+} // namespace
+
+void WorkEstimate::assume(core::Duration work)
+{
+    if (m_samples > AssumptionWeight || work <= core::Duration{}) {
+        return;
+    }
+    m_usual = static_cast<double>(work.count());
+    m_samples = AssumptionWeight;
+}
+
+void WorkEstimate::add(core::Duration latency, double slowness)
+{
+    ++m_samples;
+    const double work = static_cast<double>(latency.count()) / std::max(slowness, 1.0);
+    m_usual += (work - m_usual) * std::max(LeastStep, 1 / m_samples);
+}
+
+bool WorkEstimate::known() const
+{
+    return m_usual > 0;
+}
+
+double WorkEstimate::usual() const
+{
+    return m_usual;
+}
+
+} // namespace pimentoshed::routing
--- a/src/rpc/codec.cpp
+++ b/src/rpc/codec.cpp
@@ -1,5 +1,9 @@
 #include "rpc/codec.h"
 
+#include "rpc/packing.h"
+
+#include <utility>
+
 namespace pimentoshed::rpc
 {
 
@@ -68,13 +72,10 @@
     return {core::HostId(message.id()), message.address(), core::FailureDomain(message.domain())};
 }
 
-void encode(const changes::Standing &standing, std::uint64_t knownVersion, Standing &message)
+void encode(const changes::Standing &standing, Standing &message)
 {
     message.set_revision(standing.revision);
     message.set_version(standing.version);
-    if (standing.version != knownVersion) {
-        message.set_text(standing.text);
-    }
     for (const auto &[name, domain] : standing.domains) {
         auto *encoded = message.add_domains();
         encoded->set_name(name.str());
@@ -87,14 +88,25 @@
 {
 
 /** Puts the file of @p message into @p standing. */
-core::Status takeFile(const Standing &message, const configuration::FileParser &parser, changes::Standing &standing)
+core::Status takeFile(const Standing &message,
+                      const changes::Standing *known,
+                      const configuration::FileParser &parser,
+                      changes::Standing &standing)
 {
-    auto parsed = parser(message.text());
+    const bool leans = message.basis_version() != 0;
+    if (leans && (known == nullptr || known->version != message.basis_version())) {
+        return core::Error{core::ErrorCode::MessageMalformed, "the file of the standing leans on an unknown one"};
+    }
+    auto text = unpack(message.packed_text(), leans ? std::string_view(known->text) : std::string_view());
+    if (!core::ok(text)) {
+        return core::error(text);
+    }
+    auto parsed = parser(core::value(text));
     auto *configuration = std::get_if<configuration::Configuration>(&parsed);
     if (configuration == nullptr) {
         return core::Error{core::ErrorCode::MessageMalformed, "the file of the standing does not parse"};
     }
-    standing.text = message.text();
+    standing.text = std::move(core::value(text));
     standing.configuration = std::make_shared<const configuration::Configuration>(std::move(*configuration));
     return std::monostate{};
 }
@@ -108,8 +120,8 @@
     changes::Standing standing;
     standing.revision = message.revision();
     standing.version = message.version();
-    if (message.has_text()) {
-        if (auto taken = takeFile(message, parser, standing); !core::ok(taken)) {
+    if (message.has_packed_text()) {
+        if (auto taken = takeFile(message, known, parser, standing); !core::ok(taken)) {
             return core::error(taken);
         }
     } else if (known != nullptr && known->version == message.version()) {
--- a/src/rpc/codec.h
+++ b/src/rpc/codec.h
@@ -23,11 +23,11 @@
 void encode(const membership::ControlHost &host, ControlHost &message);
 membership::ControlHost decode(const ControlHost &message);
 
-/** Leaves the file out where the reader has that of @p knownVersion. */
-void encode(const changes::Standing &standing, std::uint64_t knownVersion, Standing &message);
+/** All but the file. */
+void encode(const changes::Standing &standing, Standing &message);
 /**
  * Takes the file from @p known where the message leaves it out. Error: MessageMalformed where the file does not parse,
- * or is left out and not known.
+ * is left out and not known, or leans on another than @p known.
  */
 core::Result<changes::Standing> decode(const Standing &message,
                                        const changes::Standing *known,
--- a/src/rpc/commandcodec.cpp
+++ b/src/rpc/commandcodec.cpp
@@ -3,6 +3,9 @@
 #include "pimentoshed.pb.h"
 #include "replication.pb.h"
 #include "rpc/codec.h"
+#include "rpc/packing.h"
+
+#include <utility>
 
 namespace pimentoshed::rpc
 {
@@ -17,7 +20,7 @@
     {
         auto *message = command.mutable_apply_file();
         message->set_change_id(change.id.str());
-        message->set_text(change.text);
+        message->set_packed_text(pack(change.text));
         message->set_named_by_content(change.namedByContent);
     }
     void operator()(const changes::MoveDomain &change) const
@@ -51,8 +54,12 @@
     }
     if (command.has_apply_file()) {
         const auto &message = command.apply_file();
-        return Command(changes::Change(
-            changes::ApplyFile{core::ChangeId(message.change_id()), message.text(), message.named_by_content()}));
+        auto text = unpack(message.packed_text());
+        if (!core::ok(text)) {
+            return core::error(text);
+        }
+        return Command(changes::Change(changes::ApplyFile{
+            core::ChangeId(message.change_id()), std::move(core::value(text)), message.named_by_content()}));
     }
     if (command.has_move_domain()) {
         const auto &message = command.move_domain();
--- a/src/rpc/statecodec.cpp
+++ b/src/rpc/statecodec.cpp
@@ -3,6 +3,9 @@
 #include "replication.pb.h"
 #include "rpc/codec.h"
 #include "rpc/commandcodec.h"
+#include "rpc/packing.h"
+
+#include <utility>
 
 namespace pimentoshed::rpc
 {
@@ -19,7 +22,7 @@
 {
     message.set_revision(ledger.revision);
     message.set_version(ledger.version);
-    message.set_text(ledger.text);
+    message.set_packed_text(pack(ledger.text));
     for (const auto &[name, standing] : ledger.domains) {
         auto *domain = message.add_domains();
         domain->set_name(name.str());
@@ -44,12 +47,16 @@
     }
 }
 
-changes::LedgerState decodeLedger(const StateSnapshot &message)
+core::Result<changes::LedgerState> decodeLedger(const StateSnapshot &message)
 {
+    auto text = unpack(message.packed_text());
+    if (!core::ok(text)) {
+        return damaged(core::error(text).detail);
+    }
     changes::LedgerState ledger;
     ledger.revision = message.revision();
     ledger.version = message.version();
-    ledger.text = message.text();
+    ledger.text = std::move(core::value(text));
     for (const auto &domain : message.domains()) {
         const core::FailureDomain name(domain.name());
         ledger.domains[name] = {domain.out(), domain.changes()};
@@ -86,8 +93,12 @@
     if (!message.ParseFromString(bytes)) {
         return damaged("the snapshot does not parse");
     }
+    auto ledger = decodeLedger(message);
+    if (!core::ok(ledger)) {
+        return core::error(ledger);
+    }
     ReplicatedContent content;
-    content.ledger = decodeLedger(message);
+    content.ledger = std::move(core::value(ledger));
     for (const auto &encoded : message.withdrawals()) {
         const auto target = decode(encoded);
         if (!core::ok(target)) {
--- a/tests/routing/nearintime.cpp
+++ b/tests/routing/nearintime.cpp
@@ -141,3 +141,25 @@
     CHECK(core::ok(router.assign(Start)));
     CHECK_FALSE(core::ok(router.assign(Start)));
 }
+
+TEST_CASE("a host that has seen no request end leaves slow targets alone, by its objective")
+{
+    auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
+    router.assumeObjective(250ms);
+    router.noteReport(core::TargetId("t0"), report(0, 5), Start);
+    CHECK(core::error(router.assign(Start, within(250ms))).code == core::ErrorCode::NoTarget);
+    router.noteReport(core::TargetId("t0"), report(0), Start);
+    CHECK(core::ok(router.assign(Start, within(250ms))));
+}
+
+TEST_CASE("what a target has just said rules it out, though this host took a while to read it")
+{
+    auto router = makeFleet();
+    const std::vector among{core::TargetId("t0")};
+    auto terms = within(250ms);
+    terms.among = among;
+    router.noteReport(core::TargetId("t0"), report(0, 5), Start);
+    CHECK_FALSE(core::ok(router.assign(Start + 40ms, terms)));
+    // One that can be asked again is not ruled out by so old a word.
+    CHECK(router.shortlist(Start + 40ms, within(250ms), 3).size() == 3);
+}
