--- a/src/consensus/engine.cpp
+++ b/src/consensus/engine.cpp
@@ -1,5 +1,7 @@
 #include "consensus/engine.h"
 
+#include <algorithm>
+
 namespace pimentoshed::consensus
 {
 
@@ -13,10 +15,18 @@
     , m_outbox(m_hardState, m_log.last().index)
     , m_commit(m_log.snapshot().last.index)
 {
-    m_electionDeadline = now + randomised(m_timing.firstElectionTimeout);
-    if (m_log.members().voters == std::vector{m_self}) {
-        m_electionDeadline = now;
+    m_electionDeadline = now + firstElectionTimeout();
+}
+
+core::Duration Engine::firstElectionTimeout() const
+{
+    const auto &voters = m_log.members().voters;
+    if (voters == std::vector{m_self}) {
+        return {};
     }
+    // Members that start together campaign one after the other.
+    const auto position = std::find(voters.begin(), voters.end(), m_self) - voters.begin();
+    return m_timing.firstElectionTimeout + m_timing.firstElectionStep * position;
 }
 
 void Engine::tick(core::TimePoint now)
--- a/src/consensus/engine.h
+++ b/src/consensus/engine.h
@@ -46,6 +46,7 @@
     void handle(const MemberId &from, const VoteReply &reply, core::TimePoint now);
     bool hearsLeader(core::TimePoint now) const;
     void resetElectionDeadline(core::TimePoint now);
+    core::Duration firstElectionTimeout() const;
     core::Duration randomised(core::Duration timeout) const;
     void becomeFollower(Term term, const std::optional<MemberId> &leader, core::TimePoint now);
     void setTerm(Term term, const std::optional<MemberId> &votedFor);
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -30,6 +30,8 @@
     core::Duration electionTimeout = std::chrono::seconds(1);
     /** As electionTimeout, for a member that has just started: pre-votes protect a leader that it has not heard yet. */
     core::Duration firstElectionTimeout = std::chrono::seconds(1);
+    /** How much later than the member before it each member campaigns first. */
+    core::Duration firstElectionStep = std::chrono::milliseconds(100);
     /** A candidate without enough votes tries again after one to two of these. */
     core::Duration campaignTimeout = std::chrono::milliseconds(250);
     /** Before a snapshot that was not acknowledged is sent again. */
--- a/src/control/replicator.cpp
+++ b/src/control/replicator.cpp
@@ -15,7 +15,7 @@
 {
 
 /** Hosts that start together agree on a leader within some of their round trips. */
-constexpr auto FirstElectionTimeout = std::chrono::milliseconds(150);
+constexpr auto FirstElectionTimeout = std::chrono::milliseconds(100);
 constexpr auto SubmitLimit = std::chrono::seconds(5);
 /** Applied entries that a restart has to read again at most; some hundred changes are made in a day. */
 constexpr std::uint64_t EntriesPerSnapshot = 256;
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -25,6 +25,8 @@
 /** A refused caller is to come back after about as long as an answer usually takes; spread, so that not all do at once.
  */
 constexpr core::Duration LeastRetryAfter = std::chrono::milliseconds(40);
+/** Where this host has no configuration yet: control hosts that all restart agree within half a second. */
+constexpr core::Duration NotCurrentRetryAfter = std::chrono::milliseconds(250);
 /** In usual times of work: so long a queue is gone that made a request wait past its objective. */
 constexpr int RetryAfterWorks = 2;
 /** Connections that can't be made prove that nothing ran; a request is given up after so many all the same. */
@@ -530,7 +532,8 @@
         }
         std::optional<core::Duration> retryAfter;
         if (outcome.run == RunState::NotRun) {
-            const auto base = std::max(LeastRetryAfter, RetryAfterWorks * usual);
+            const bool unready = outcome.failure->code == ErrorCode::NotCurrent;
+            const auto base = std::max(unready ? NotCurrentRetryAfter : LeastRetryAfter, RetryAfterWorks * usual);
             retryAfter = base + base * core::below(m_parts.random, 100) / 100;
         }
         exchange.send(m_parts.marking.refusal({std::move(outcome), retryAfter}));
--- a/tests/consensus/replica.cpp
+++ b/tests/consensus/replica.cpp
@@ -371,3 +371,15 @@
     }
     CHECK(members == Members{{A, B, next}, {}, {}});
 }
+
+TEST_CASE("members that start together agree on a leader at the first campaign")
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
+        Timing timing;
+        timing.firstElectionTimeout = std::chrono::milliseconds(100);
+        Pool pool(5, seed, timing);
+        pool.run(std::chrono::milliseconds(400));
+        REQUIRE(pool.leader() != nullptr);
+        CHECK(pool.leader()->replica->inspect().term == Term(1));
+    }
+}
