Ask one target first, far ones one by one, and lead callers of a name to half of the near hosts

Change: one target is asked and taken where it is idle, else the best of some; far ones one by one; the directory answers a name with half of the near hosts.

--- a/src/control/followdesk.h
+++ b/src/control/followdesk.h
@@ -4,8 +4,8 @@
  */
 #pragma once
 
-#include "control/filepacker.h"
 #include "changes/ledger.h"
+#include "control/filepacker.h"
 #include "core/rankedmutex.h"
 #include "core/time.h"
 #include "membership/hub.h"
--- a/src/entry/callerfront.cpp
+++ b/src/entry/callerfront.cpp
@@ -410,8 +410,9 @@
     }
 
     /**
-     * Asks the most promising targets for their load, some at a time, until one of them has room: the near ones first,
-     * all of them where need be, as asking one costs little against the way to another failure domain.
+     * Asks the most promising targets for their load until one of them has room: one that turns out to be idle will do,
+     * otherwise the best of some. The near ones first, all of them where need be, as asking one costs little against
+     * the way to another failure domain.
      */
     std::vector<Looked> lookAround(const Run &run, const routing::AssignTerms &terms) const
     {
@@ -422,9 +423,11 @@
         std::vector<core::TargetId> avoid(terms.avoid.begin(), terms.avoid.end());
         auto wanted = terms;
         wanted.nearOnly = true;
-        while (!hasRoom(run, terms, looked)) {
+        while (!mayChoose(run, terms, looked)) {
             wanted.avoid = avoid;
-            auto round = look(run, wanted);
+            // A question across failure domains costs, so far targets are asked one by one.
+            const bool single = looked.empty() || !wanted.nearOnly;
+            auto round = look(run, wanted, single ? 1 : m_parts.terms.looks);
             if (round.empty() && (terms.nearOnly || !wanted.nearOnly)) {
                 break;
             }
@@ -437,19 +440,19 @@
         return looked;
     }
 
-    /** Whether one of those that told their load can be given the request. */
-    bool hasRoom(const Run &run, const routing::AssignTerms &terms, const std::vector<Looked> &looked) const
+    /** Whether one of those that told their load can be given the request, and looking further is not worth while. */
+    bool mayChoose(const Run &run, const routing::AssignTerms &terms, const std::vector<Looked> &looked) const
     {
         const auto told = thatTold(looked);
         auto among = terms;
         among.among = told;
+        among.idleOnly = looked.size() < m_parts.terms.looks;
         return !told.empty() && !m_parts.router.shortlist(run.service.name, m_parts.timers.now(), among, 1).empty();
     }
 
-    std::vector<Looked> look(const Run &run, const routing::AssignTerms &terms) const
+    std::vector<Looked> look(const Run &run, const routing::AssignTerms &terms, std::size_t count) const
     {
-        const auto chosen =
-            m_parts.router.shortlist(run.service.name, m_parts.timers.now(), terms, m_parts.terms.looks);
+        const auto chosen = m_parts.router.shortlist(run.service.name, m_parts.timers.now(), terms, count);
         if (chosen.empty()) {
             return {};
         }
--- a/src/membership/hosts.cpp
+++ b/src/membership/hosts.cpp
@@ -1,6 +1,9 @@
 #include "membership/hosts.h"
 
+#include "membership/rendezvous.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace pimentoshed::membership
 {
@@ -32,23 +35,24 @@
 
 } // namespace
 
-std::vector<std::string> nearestAddresses(const std::vector<EntryHost> &hosts,
-                                          const core::FailureDomain &preferred,
-                                          std::size_t least,
-                                          std::size_t count)
+std::vector<std::string> nearestAddresses(const std::vector<EntryHost> &hosts, const AddressTerms &terms)
 {
     std::vector<const EntryHost *> near;
     std::vector<const EntryHost *> all;
     for (const auto &host : hosts) {
         if (!host.stopping) {
             all.push_back(&host);
-            if (host.domain == preferred) {
+            if (host.domain == terms.preferred) {
                 near.push_back(&host);
             }
         }
     }
-    auto &chosen = near.size() < std::min(least, all.size()) ? all : near;
-    chosen.resize(std::min(chosen.size(), count));
+    auto &chosen = near.size() < std::min(terms.least, all.size()) ? all : near;
+    std::sort(chosen.begin(), chosen.end(), [&terms](const EntryHost *left, const EntryHost *right) {
+        return rendezvousWeight(left->id.str(), terms.name) > rendezvousWeight(right->id.str(), terms.name);
+    });
+    const auto part = static_cast<std::size_t>(std::ceil(static_cast<double>(chosen.size()) * terms.share));
+    chosen.resize(std::min({chosen.size(), std::max(part, terms.least), terms.most}));
     return addresses(chosen);
 }
 
--- a/src/membership/hosts.h
+++ b/src/membership/hosts.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pimentoshed::membership
@@ -38,14 +39,22 @@
     bool operator==(const ControlHost &) const = default;
 };
 
+/** Who asks for addresses, and how many are to serve it. */
+struct AddressTerms {
+    core::FailureDomain preferred;
+    /** The host name that the callers will send: callers of one name share entry hosts. */
+    std::string_view name;
+    /** The share of the preferred domain's hosts that serve a name, and how many do at least. */
+    double share = 1;
+    std::size_t least = 1;
+    std::size_t most = 1;
+};
+
 /**
- * The addresses of up to @p count hosts that are not stopping, all of @p preferred; of every domain where that has
- * fewer than @p least, so that callers outlive the loss of one.
+ * The addresses of hosts that are not stopping, of the preferred domain; of every domain where that has fewer than
+ * the least, so that callers outlive the loss of one. Few hosts for a name know more of its targets' load than many.
  */
-std::vector<std::string> nearestAddresses(const std::vector<EntryHost> &hosts,
-                                          const core::FailureDomain &preferred,
-                                          std::size_t least,
-                                          std::size_t count);
+std::vector<std::string> nearestAddresses(const std::vector<EntryHost> &hosts, const AddressTerms &terms);
 
 /**
  * Up to @p count addresses in the order a caller should try them, from hosts that are neither stopping nor in a domain
--- a/src/membership/ownership.cpp
+++ b/src/membership/ownership.cpp
@@ -1,7 +1,8 @@
 #include "membership/ownership.h"
 
+#include "membership/rendezvous.h"
+
 #include <algorithm>
-#include <string_view>
 #include <utility>
 
 namespace pimentoshed::membership
@@ -13,29 +14,9 @@
 /** Clocks of two hosts run apart by at most one part in this many. */
 constexpr int ClockDriftDivisor = 20;
 
-constexpr std::uint64_t FnvBasis = 14695981039346656037ULL;
-constexpr std::uint64_t FnvPrime = 1099511628211ULL;
-
-std::uint64_t hashText(std::uint64_t state, std::string_view text)
-{
-    for (const char byte : text) {
-        state = (state ^ static_cast<unsigned char>(byte)) * FnvPrime;
-    }
-    // Ends the text, so that "a" + "bc" and "ab" + "c" differ.
-    return (state ^ 0xffU) * FnvPrime;
-}
-
-/** The finaliser of SplitMix64. */
-std::uint64_t mix(std::uint64_t value)
-{
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31);
-}
-
 std::uint64_t weight(const Member &member, const core::TargetId &target)
 {
-    return mix(hashText(hashText(FnvBasis, member.id.str()), target.str()));
+    return rendezvousWeight(member.id.str(), target.str());
 }
 
 bool isNear(const OwnershipView &view, const core::FailureDomain &domain)
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -22,6 +22,9 @@
 constexpr double EstimateStep = 0.05;
 /** Objectives leave room for work that takes twice or three times as long as usual. */
 constexpr double WorkOfObjective = 0.4;
+/** A target counts as idle up to this slowness and this share of its slots: nearly full ones often work slower. */
+constexpr double IdleSlowness = 1.25;
+constexpr double IdleShare = 0.5;
 /** A report of a target's load says nothing any more after this: shared machines change within some 150 ms. */
 constexpr core::Duration ReportMemory = std::chrono::milliseconds(300);
 /** A report that is older may be out of date: a fraction of the time within which speeds change. */
@@ -442,7 +445,12 @@
     const auto valid = terms.among.empty() ? FreshReport : ReportMemory;
     const bool fresh = entry.report && now - entry.reportedAt <= valid;
     const bool inTime = terms.objective == core::Duration{} || !fresh || candidate.chance >= LeastChance;
-    return inTime && estimatedLoad(entry, now) < slots(entry);
+    return inTime && estimatedLoad(entry, now) < slots(entry) && (!terms.idleOnly || isIdle(entry, now));
+}
+
+bool ServiceRouter::isIdle(const Entry &entry, core::TimePoint now) const
+{
+    return slowness(entry, now) <= IdleSlowness && estimatedLoad(entry, now) < IdleShare * slots(entry);
 }
 
 Candidate ServiceRouter::candidate(const Entry &entry,
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -60,6 +60,8 @@
     core::Duration objective{};
     /** Whether only targets of this host's failure domain are asked for, where it has any to turn to. */
     bool nearOnly = false;
+    /** Whether only targets are asked for that are of usual speed and have most of their slots free. */
+    bool idleOnly = false;
 };
 
 /** A request that was given to a target. Ends with one release. */
@@ -172,6 +174,8 @@
     double estimatedLoad(const Entry &entry, core::TimePoint now) const;
     double slowness(const Entry &entry, core::TimePoint now) const;
     core::Duration expectedTime(const Entry &entry, core::TimePoint now) const;
+    /** Whether there is hardly a better target to be found. */
+    bool isIdle(const Entry &entry, core::TimePoint now) const;
     bool hasRoom(const Entry &entry, const Candidate &candidate, const AssignTerms &terms, core::TimePoint now) const;
     Candidate candidate(const Entry &entry, unsigned most, const AssignTerms &terms, core::TimePoint now) const;
     std::optional<std::size_t> dueTrial(core::TimePoint now, const AssignTerms &terms);
--- a/tests/membership/hosts.cpp
+++ b/tests/membership/hosts.cpp
@@ -75,3 +75,58 @@
         CHECK(count < 1200);
     }
 }
+
+namespace
+{
+
+membership::AddressTerms nearTerms(std::string_view name)
+{
+    membership::AddressTerms terms;
+    terms.preferred = core::FailureDomain("ravne");
+    terms.name = name;
+    terms.share = 1.0 / 3;
+    terms.least = 2;
+    terms.most = 64;
+    return terms;
+}
+
+} // namespace
+
+TEST_CASE("a name is served by a part of the near hosts, the same for all callers, and others step in for lost ones")
+{
+    auto hosts = seventeenHosts();
+    const auto before = membership::nearestAddresses(hosts, nearTerms("a.example"));
+    REQUIRE(before.size() == 2);
+    std::reverse(hosts.begin(), hosts.end());
+    CHECK(membership::nearestAddresses(hosts, nearTerms("a.example")) == before);
+    for (auto &host : hosts) {
+        host.stopping = host.address == before[0];
+    }
+    const auto after = membership::nearestAddresses(hosts, nearTerms("a.example"));
+    REQUIRE(after.size() == 2);
+    CHECK(after[0] == before[1]);
+}
+
+TEST_CASE("names are spread over the near hosts")
+{
+    std::map<std::string, int> served;
+    for (int i = 0; i < 600; ++i) {
+        for (const auto &address :
+             membership::nearestAddresses(seventeenHosts(), nearTerms("n" + std::to_string(i) + ".example"))) {
+            ++served[address];
+        }
+    }
+    CHECK(served.size() == 6);
+    for (const auto &[address, count] : served) {
+        CHECK(count > 120);
+    }
+}
+
+TEST_CASE("callers of a domain with too few hosts are led to those of all domains")
+{
+    auto hosts = seventeenHosts();
+    for (auto &host : hosts) {
+        host.stopping = host.domain == core::FailureDomain("ravne") && host.id != core::HostId("e0");
+    }
+    CHECK(membership::nearestAddresses(hosts, nearTerms("a.example")).size() == 4);
+}
--- a/tests/routing/nearintime.cpp
+++ b/tests/routing/nearintime.cpp
@@ -163,3 +163,19 @@
     // One that can be asked again is not ruled out by so old a word.
     CHECK(router.shortlist(Start + 40ms, within(250ms), 3).size() == 3);
 }
+
+TEST_CASE("an idle target is of usual speed and has most of its slots free")
+{
+    auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
+    router.assumeObjective(250ms);
+    const core::TargetId id("t0");
+    auto terms = within(1s);
+    terms.idleOnly = true;
+    for (const auto &[told, idle] : {std::pair(report(0), true),
+                                     std::pair(report(1), true),
+                                     std::pair(report(2), false),
+                                     std::pair(report(0, 1.5), false)}) {
+        router.noteReport(id, told, Start);
+        CHECK(router.shortlist(Start, terms, 1).empty() != idle);
+    }
+}
