--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -81,9 +81,7 @@
     for (const auto &target : news.targets) {
         rpc::encode(target, *reply.add_targets());
     }
-    for (const auto &host : news.hosts) {
-        rpc::encode(host, *reply.add_hosts());
-    }
+    rpc::encode(news.hosts, reply);
     return reply;
 }
 
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -219,7 +219,7 @@
             }
         }
         m_feeds = std::move(feeds);
-        m_hub.touchHosts();
+        m_hub.touchControlHosts();
     }
 
     /** The other members, and until there are any the hosts that the settings name. */
@@ -293,7 +293,7 @@
                 return;
             }
         }
-        m_hub.touchHosts();
+        m_hub.touchControlHosts();
     }
 
     core::Duration targetLease() const
--- a/src/control/followdesk.cpp
+++ b/src/control/followdesk.cpp
@@ -165,11 +165,8 @@
     for (const auto &target : news.targets) {
         rpc::encode(target, *reply.add_targets());
     }
-    reply.set_hosts_changed(news.hostsChanged);
-    for (const auto &host : news.hosts) {
-        rpc::encode(host, *reply.add_hosts());
-    }
-    if (news.hostsChanged && !request.peer()) {
+    rpc::encode(news.hosts, reply);
+    if (news.controlHostsChanged && !request.peer()) {
         addControlHosts(reply);
     }
     return reply;
--- a/src/control/peerfeed.cpp
+++ b/src/control/peerfeed.cpp
@@ -90,14 +90,7 @@
             m_parts.learn(core::value(target));
         }
     }
-    if (reply.hosts_changed()) {
-        std::vector<membership::EntryHost> hosts;
-        hosts.reserve(static_cast<std::size_t>(reply.hosts_size()));
-        for (const auto &host : reply.hosts()) {
-            hosts.push_back(rpc::decode(host));
-        }
-        m_parts.hub.hearFrom(m_peer, hosts);
-    }
+    m_parts.hub.hearFrom(m_peer, rpc::decodeHosts(reply));
     m_feedId = reply.feed_id();
     m_feedPosition = reply.feed_position();
 }
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -158,14 +158,8 @@
             learn(core::value(target));
         }
     }
-    if (reply.hosts_changed()) {
-        std::vector<membership::EntryHost> hosts;
-        for (const auto &host : reply.hosts()) {
-            hosts.push_back(rpc::decode(host));
-        }
-        m_parts.view.setHosts(std::move(hosts));
-        adoptControlHosts(reply);
-    }
+    m_parts.view.learnHosts(rpc::decodeHosts(reply));
+    adoptControlHosts(reply);
     confirm(reply);
     m_feedPosition = reply.feed_position();
     if (m_feedId.exchange(reply.feed_id()) != reply.feed_id()) {
--- a/src/entry/view.cpp
+++ b/src/entry/view.cpp
@@ -23,10 +23,13 @@
     }
 }
 
-void View::setHosts(std::vector<membership::EntryHost> hosts)
+void View::learnHosts(const membership::HostNews &news)
 {
+    if (news.empty()) {
+        return;
+    }
     const core::Lock lock(m_mutex);
-    m_hosts = std::move(hosts);
+    membership::apply(news, m_hosts);
 }
 
 core::Result<std::shared_ptr<const changes::Standing>> View::current(core::TimePoint now) const
@@ -66,7 +69,12 @@
 std::vector<membership::EntryHost> View::hosts() const
 {
     const core::Lock lock(m_mutex);
-    return m_hosts;
+    std::vector<membership::EntryHost> hosts;
+    hosts.reserve(m_hosts.size());
+    for (const auto &[id, host] : m_hosts) {
+        hosts.push_back(host);
+    }
+    return hosts;
 }
 
 std::vector<membership::EntryHost> knownHosts(const View &view, const membership::EntryHost &self)
--- a/src/entry/view.h
+++ b/src/entry/view.h
@@ -6,7 +6,7 @@
 
 #include "changes/ledger.h"
 #include "core/rankedmutex.h"
-#include "membership/hosts.h"
+#include "membership/roster.h"
 #include "membership/permission.h"
 
 #include <memory>
@@ -25,7 +25,7 @@
     /** Takes a confirmation that @p revision was current at a question asked at @p asked. */
     void confirm(std::uint64_t revision, core::TimePoint asked);
 
-    void setHosts(std::vector<membership::EntryHost> hosts);
+    void learnHosts(const membership::HostNews &news);
 
     /** Whether what is known is known to be current. */
     bool isCurrent(core::TimePoint now) const;
@@ -45,7 +45,7 @@
     mutable core::RankedMutex m_mutex{core::LockRank::Configuration};
     std::shared_ptr<const changes::Standing> m_standing;
     membership::Permission m_permission;
-    std::vector<membership::EntryHost> m_hosts;
+    membership::HostMap m_hosts;
 };
 
 /** The hosts as @p view knows them, but for what @p self knows better of itself. */
--- a/src/membership/hub.cpp
+++ b/src/membership/hub.cpp
@@ -17,20 +17,18 @@
     const bool changed = isNew || entry.host != host;
     entry = {host, now};
     if (changed) {
-        noteHostsChanged(Teller::Own);
+        noteHosts();
     }
     return changed;
 }
 
-bool Hub::hearFrom(const core::HostId &source, const std::vector<EntryHost> &hosts)
+bool Hub::hearFrom(const core::HostId &source, const HostNews &news)
 {
     const core::Lock lock(m_mutex);
-    auto &known = m_sources[source];
-    if (known == hosts) {
+    if (!apply(news, m_sources[source])) {
         return false;
     }
-    known = hosts;
-    noteHostsChanged(Teller::Peer);
+    noteHosts();
     return true;
 }
 
@@ -38,7 +36,7 @@
 {
     const core::Lock lock(m_mutex);
     if (m_sources.erase(source) > 0) {
-        noteHostsChanged(Teller::Peer);
+        noteHosts();
     }
 }
 
@@ -66,7 +64,7 @@
         return entry.second.heard < before;
     });
     if (count > 0) {
-        noteHostsChanged(Teller::Own);
+        noteHosts();
     }
     return count > 0;
 }
@@ -82,17 +80,15 @@
             news.targets.push_back(known.target);
         }
     }
-    news.hostsChanged = (audience == Audience::Peers ? m_ownHostsPosition : m_hostsPosition) > position;
-    if (news.hostsChanged) {
-        news.hosts = knownTo(audience);
-    }
+    news.hosts = (audience == Audience::Peers ? m_ownHosts : m_allHosts).newsSince(position);
+    news.controlHostsChanged = m_controlHostsPosition > position;
     return news;
 }
 
-void Hub::touchHosts()
+void Hub::touchControlHosts()
 {
     const core::Lock lock(m_mutex);
-    noteHostsChanged(Teller::Peer);
+    m_controlHostsPosition = ++m_position;
 }
 
 std::uint64_t Hub::position(Audience audience) const
@@ -104,7 +100,7 @@
 std::vector<EntryHost> Hub::hosts() const
 {
     const core::Lock lock(m_mutex);
-    return knownTo(Audience::EntryHosts);
+    return m_allHosts.hosts();
 }
 
 std::size_t Hub::targetCount() const
@@ -113,39 +109,30 @@
     return m_targets.size();
 }
 
-std::vector<EntryHost> Hub::knownTo(Audience audience) const
+void Hub::noteHosts()
 {
-    std::map<core::HostId, EntryHost> newest;
-    const auto take = [&newest](const EntryHost &host) {
-        const auto [position, isNew] = newest.try_emplace(host.id, host);
-        auto &known = position->second;
-        // Of two records of one process, the one that says it stops is the later.
-        if (!isNew && std::pair(known.incarnation, known.stopping) < std::pair(host.incarnation, host.stopping)) {
-            known = host;
-        }
-    };
+    HostMap own;
     for (const auto &[id, entry] : m_hosts) {
-        take(entry.host);
+        own.emplace(id, entry.host);
     }
-    if (audience == Audience::EntryHosts) {
-        for (const auto &[source, hosts] : m_sources) {
-            std::for_each(hosts.begin(), hosts.end(), take);
+    auto all = own;
+    for (const auto &[source, hosts] : m_sources) {
+        for (const auto &[id, host] : hosts) {
+            const auto [position, isNew] = all.try_emplace(id, host);
+            auto &known = position->second;
+            // Of two records of one process, the one that says it stops is the later.
+            if (!isNew && std::pair(known.incarnation, known.stopping) < std::pair(host.incarnation, host.stopping)) {
+                known = host;
+            }
         }
     }
-    std::vector<EntryHost> found;
-    found.reserve(newest.size());
-    for (const auto &[id, host] : newest) {
-        found.push_back(host);
+    const bool ownChanged = m_ownHosts.become(own, m_position + 1);
+    const bool allChanged = m_allHosts.become(all, m_position + 1);
+    if (ownChanged) {
+        m_peersPosition = m_position + 1;
     }
-    return found;
-}
-
-void Hub::noteHostsChanged(Teller teller)
-{
-    m_hostsPosition = ++m_position;
-    if (teller == Teller::Own) {
-        m_ownHostsPosition = m_position;
-        m_peersPosition = m_position;
+    if (ownChanged || allChanged) {
+        ++m_position;
     }
 }
 
--- a/src/membership/hub.h
+++ b/src/membership/hub.h
@@ -7,7 +7,7 @@
 
 #include "core/rankedmutex.h"
 #include "core/time.h"
-#include "membership/hosts.h"
+#include "membership/roster.h"
 #include "targets/target.h"
 
 #include <cstdint>
@@ -38,8 +38,9 @@
 struct FeedNews {
     std::uint64_t position = 0;
     std::vector<targets::Target> targets;
-    bool hostsChanged = false;
-    std::vector<EntryHost> hosts;
+    HostNews hosts;
+    /** Whether what is told of control hosts has changed. */
+    bool controlHostsChanged = false;
 };
 
 /**
@@ -53,7 +54,7 @@
     bool hear(const EntryHost &host, core::TimePoint now);
 
     /** Takes what the control host @p source says of the entry hosts that it hears. Whether that changed anything. */
-    bool hearFrom(const core::HostId &source, const std::vector<EntryHost> &hosts);
+    bool hearFrom(const core::HostId &source, const HostNews &news);
 
     /** Forgets what @p source said. */
     void forgetSource(const core::HostId &source);
@@ -67,8 +68,8 @@
     /** What came after @p position; 0 asks for everything. */
     FeedNews newsSince(std::uint64_t position, Audience audience) const;
 
-    /** Notes that what is told of hosts beside this hub's own has changed. */
-    void touchHosts();
+    /** Notes that what is told of control hosts has changed. */
+    void touchControlHosts();
 
     /** The latest change that concerns @p audience. */
     std::uint64_t position(Audience audience) const;
@@ -89,18 +90,19 @@
         Teller teller = Teller::Own;
     };
 
-    std::vector<EntryHost> knownTo(Audience audience) const;
-    /** Numbers a change of the entry hosts; peers hear of those that @p teller told. */
-    void noteHostsChanged(Teller teller);
+    /** Numbers a change of the entry hosts, if it is one. */
+    void noteHosts();
 
     mutable core::RankedMutex m_mutex{core::LockRank::Membership};
     std::uint64_t m_position = 0;
-    std::uint64_t m_hostsPosition = 0;
-    /** Of the latest change of the hosts that this one hears itself, and of anything that it tells its peers. */
-    std::uint64_t m_ownHostsPosition = 0;
+    /** Of the latest change that its peers are told, and of the control hosts. */
     std::uint64_t m_peersPosition = 0;
+    std::uint64_t m_controlHostsPosition = 0;
+    /** The hosts that this one hears itself, and all of them. */
+    Roster m_ownHosts;
+    Roster m_allHosts;
     std::map<core::HostId, HostEntry> m_hosts;
-    std::map<core::HostId, std::vector<EntryHost>> m_sources;
+    std::map<core::HostId, HostMap> m_sources;
     std::unordered_map<core::TargetId, TargetEntry> m_targets;
     std::map<std::uint64_t, core::TargetId> m_order;
 };
--- /dev/null
+++ b/src/membership/roster.cpp
@@ -0,0 +1,111 @@
+#include "membership/roster.h"
+
+#include <algorithm>
+
+namespace pimentoshed::membership
+{
+
+namespace
+{
+
+/** Hosts that went which are remembered, so that followers hear of them: more than go in a second. */
+constexpr std::size_t MostGone = 256;
+
+} // namespace
+
+bool HostNews::empty() const
+{
+    return !whole && hosts.empty() && gone.empty();
+}
+
+bool apply(const HostNews &news, HostMap &hosts)
+{
+    auto changed = hosts;
+    if (news.whole) {
+        changed.clear();
+    }
+    for (const auto &host : news.hosts) {
+        changed.insert_or_assign(host.id, host);
+    }
+    for (const auto &id : news.gone) {
+        changed.erase(id);
+    }
+    const bool differs = changed != hosts;
+    hosts = std::move(changed);
+    return differs;
+}
+
+bool Roster::become(const HostMap &hosts, std::uint64_t position)
+{
+    bool changed = false;
+    for (const auto &[id, host] : hosts) {
+        auto &row = m_rows[id];
+        if (row.host != host) {
+            row = {host, position};
+            changed = true;
+        }
+    }
+    for (auto &[id, row] : m_rows) {
+        if (row.host && hosts.count(id) == 0) {
+            row = {std::nullopt, position};
+            changed = true;
+        }
+    }
+    if (changed) {
+        m_position = position;
+        forgetOldest();
+    }
+    return changed;
+}
+
+HostNews Roster::newsSince(std::uint64_t position) const
+{
+    HostNews news;
+    news.whole = position < m_floor && m_position > 0;
+    for (const auto &[id, row] : m_rows) {
+        if (row.host && (news.whole || row.position > position)) {
+            news.hosts.push_back(*row.host);
+        } else if (!row.host && !news.whole && row.position > position) {
+            news.gone.push_back(id);
+        }
+    }
+    return news;
+}
+
+std::uint64_t Roster::position() const
+{
+    return m_position;
+}
+
+std::vector<EntryHost> Roster::hosts() const
+{
+    std::vector<EntryHost> found;
+    found.reserve(m_rows.size());
+    for (const auto &[id, row] : m_rows) {
+        if (row.host) {
+            found.push_back(*row.host);
+        }
+    }
+    return found;
+}
+
+void Roster::forgetOldest()
+{
+    std::vector<std::uint64_t> gone;
+    for (const auto &[id, row] : m_rows) {
+        if (!row.host) {
+            gone.push_back(row.position);
+        }
+    }
+    if (gone.size() <= MostGone) {
+        return;
+    }
+    // Half of them at a time.
+    std::nth_element(gone.begin(), gone.begin() + MostGone / 2, gone.end());
+    m_floor = gone[MostGone / 2] + 1;
+    std::erase_if(m_rows, [this](const auto &entry) {
+        return !entry.second.host && entry.second.position < m_floor;
+    });
+}
+
+} // namespace pimentoshed::membership
--- a/src/rpc/codec.cpp
+++ b/src/rpc/codec.cpp
@@ -27,6 +27,31 @@
     return host;
 }
 
+void encode(const membership::HostNews &news, FollowReply &message)
+{
+    message.set_hosts_whole(news.whole);
+    for (const auto &host : news.hosts) {
+        encode(host, *message.add_hosts());
+    }
+    for (const auto &id : news.gone) {
+        message.add_gone_hosts(id.str());
+    }
+}
+
+membership::HostNews decodeHosts(const FollowReply &message)
+{
+    membership::HostNews news;
+    news.whole = message.hosts_whole();
+    news.hosts.reserve(static_cast<std::size_t>(message.hosts_size()));
+    for (const auto &host : message.hosts()) {
+        news.hosts.push_back(decode(host));
+    }
+    for (const auto &id : message.gone_hosts()) {
+        news.gone.emplace_back(id);
+    }
+    return news;
+}
+
 void encode(const targets::Target &target, Target &message)
 {
     message.set_id(target.id.str());
--- a/src/rpc/codec.h
+++ b/src/rpc/codec.h
@@ -6,7 +6,7 @@
 
 #include "changes/ledger.h"
 #include "core/error.h"
-#include "membership/hosts.h"
+#include "membership/roster.h"
 #include "pimentoshed.pb.h"
 #include "targets/target.h"
 
@@ -16,6 +16,9 @@
 void encode(const membership::EntryHost &host, EntryHost &message);
 membership::EntryHost decode(const EntryHost &message);
 
+void encode(const membership::HostNews &news, FollowReply &message);
+membership::HostNews decodeHosts(const FollowReply &message);
+
 void encode(const targets::Target &target, Target &message);
 /** Error: MessageMalformed where the condition is not known. */
 core::Result<targets::Target> decode(const Target &message);
--- a/tests/membership/hub.cpp
+++ b/tests/membership/hub.cpp
@@ -32,18 +32,18 @@
     hub.learn(makeTarget("own"), Teller::Own);
     const auto told = hub.position(Audience::Peers);
     hub.learn(makeTarget("passed-on"), Teller::Peer);
-    hub.hearFrom(core::HostId("c2"), {makeHost("e2")});
+    hub.hearFrom(core::HostId("c2"), {true, {makeHost("e2")}, {}});
     CHECK(hub.position(Audience::Peers) == told);
     CHECK(hub.position(Audience::EntryHosts) > told);
     const auto toPeers = hub.newsSince(0, Audience::Peers);
     REQUIRE(toPeers.targets.size() == 1);
     CHECK(toPeers.targets.front().id == core::TargetId("own"));
-    CHECK_FALSE(toPeers.hostsChanged);
+    CHECK(toPeers.hosts.hosts.empty());
     const auto toHosts = hub.newsSince(0, Audience::EntryHosts);
     CHECK(toHosts.targets.size() == 2);
-    CHECK(toHosts.hosts.size() == 1);
+    CHECK(toHosts.hosts.hosts.size() == 1);
     hub.hear(makeHost("e1"), Start);
-    CHECK(hub.newsSince(told, Audience::Peers).hosts.size() == 1);
+    CHECK(hub.newsSince(told, Audience::Peers).hosts.hosts.size() == 1);
 }
 
 TEST_CASE("who has heard everything is told nothing")
@@ -53,5 +53,5 @@
     hub.hear(makeHost("e1"), Start);
     const auto news = hub.newsSince(hub.position(Audience::EntryHosts), Audience::EntryHosts);
     CHECK(news.targets.empty());
-    CHECK_FALSE(news.hostsChanged);
+    CHECK(news.hosts.empty());
 }
