Leave control hosts that no quorum confirms

Change: a control host that no quorum confirmed for 2 s says so at once, to held calls too, and entry hosts go on to the next; ever more rarely where all say so. Test: entry hosts are sent to another control host where no quorum confirms this one.

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -520,7 +520,7 @@
         m_confirmAt = now + ConfirmPeriod;
         m_leaderDesk->confirm([this, asks = m_desk.asks()](bool current) {
             if (current) {
-                m_desk.confirm(asks);
+                m_desk.confirm(asks, m_timers.now());
             }
             m_confirming = false;
         });
--- a/src/control/followdesk.cpp
+++ b/src/control/followdesk.cpp
@@ -16,6 +16,8 @@
     return request.peer() ? membership::Audience::Peers : membership::Audience::EntryHosts;
 }
 
+/** Less than the three seconds for which a host may be out of touch, and longer than most elections. */
+constexpr auto UnconfirmedLimit = std::chrono::seconds(2);
 /** Asks kept for hosts that no longer call. */
 constexpr std::size_t AsksKept = 4096;
 
@@ -30,11 +32,13 @@
                       const rpc::Respond<rpc::FollowReply> &respond,
                       core::TimePoint now)
 {
-    noteAsk(request);
+    noteAsk(request, now);
     // Who is new here needs everything at once.
     const auto news = request.feed_id() == m_sources.feedId ? News::Standing : News::All;
-    if (hasNews(request, news) || !hold({request, respond, now + std::chrono::milliseconds(request.hold_ms())})) {
-        respond(answer(request));
+    const bool leave = !request.peer() && isUnconfirmed(now);
+    if (leave || hasNews(request, news)
+        || !hold({request, respond, now + std::chrono::milliseconds(request.hold_ms())})) {
+        respond(answer(request, now));
     }
 }
 
@@ -63,10 +67,17 @@
     serve(core::TimePoint::max(), News::All);
 }
 
-void FollowDesk::confirm(const Asks &asks)
+void FollowDesk::confirm(const Asks &asks, core::TimePoint now)
 {
     const core::Lock lock(m_mutex);
     m_confirmed = asks;
+    m_confirmedAt = now;
+}
+
+bool FollowDesk::isUnconfirmed(core::TimePoint now) const
+{
+    const core::Lock lock(m_mutex);
+    return m_confirmedAt && now != core::TimePoint::max() && now - *m_confirmedAt > UnconfirmedLimit;
 }
 
 FollowDesk::Asks FollowDesk::asks() const
@@ -75,12 +86,15 @@
     return m_asks;
 }
 
-void FollowDesk::noteAsk(const rpc::FollowRequest &request)
+void FollowDesk::noteAsk(const rpc::FollowRequest &request, core::TimePoint now)
 {
     if (request.peer()) {
         return;
     }
     const core::Lock lock(m_mutex);
+    if (!m_confirmedAt) {
+        m_confirmedAt = now;
+    }
     if (m_asks.size() >= AsksKept) {
         // The hosts that still call are noted again by their next calls.
         m_asks.clear();
@@ -103,16 +117,18 @@
         const core::Lock lock(m_mutex);
         due.swap(m_held);
     }
-    const auto isDue = [this, now, news](const Held &held) {
-        return held.until <= now || hasNews(held.request, news);
+    const bool unconfirmed = isUnconfirmed(now);
+    const auto isDue = [this, now, news, unconfirmed](const Held &held) {
+        const bool leave = unconfirmed && !held.request.peer();
+        return leave || held.until <= now || hasNews(held.request, news);
     };
     const auto firstKept = std::partition(due.begin(), due.end(), isDue);
-    std::for_each(due.begin(), firstKept, [this](Held &held) {
-        held.respond(answer(held.request));
+    std::for_each(due.begin(), firstKept, [this, now](Held &held) {
+        held.respond(answer(held.request, now));
     });
-    std::for_each(firstKept, due.end(), [this](Held &held) {
+    std::for_each(firstKept, due.end(), [this, now](Held &held) {
         if (!hold(held)) {
-            held.respond(answer(held.request));
+            held.respond(answer(held.request, now));
         }
     });
 }
@@ -144,7 +160,7 @@
     }
 }
 
-rpc::FollowReply FollowDesk::answer(const rpc::FollowRequest &request) const
+rpc::FollowReply FollowDesk::answer(const rpc::FollowRequest &request, core::TimePoint now) const
 {
     rpc::FollowReply reply;
     if (isRedirected(request)) {
@@ -152,6 +168,7 @@
         addControlHosts(reply);
         return reply;
     }
+    reply.set_unconfirmed(isUnconfirmed(now));
     // Read before the standing, which so covers at least what was confirmed.
     reply.set_confirmed_ask(confirmedAsk(request));
     const auto standing = m_sources.standing();
--- a/src/control/followdesk.h
+++ b/src/control/followdesk.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,7 +53,7 @@
 
     /** Notes that the standing was confirmed as current after the arrival of the calls that @p asks names. */
     using Asks = std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>;
-    void confirm(const Asks &asks);
+    void confirm(const Asks &asks, core::TimePoint now);
 
     /** The latest call of each entry host, by its id and incarnation. */
     Asks asks() const;
@@ -77,10 +78,12 @@
 
     /** Keeps the call unless the desk is closed. Whether it was kept. */
     bool hold(const Held &held);
-    void noteAsk(const rpc::FollowRequest &request);
+    /** Whether no quorum has confirmed this host for so long that entry hosts had better follow another. */
+    bool isUnconfirmed(core::TimePoint now) const;
+    void noteAsk(const rpc::FollowRequest &request, core::TimePoint now);
     bool hasNews(const rpc::FollowRequest &request, News news) const;
     void addControlHosts(rpc::FollowReply &reply) const;
-    rpc::FollowReply answer(const rpc::FollowRequest &request) const;
+    rpc::FollowReply answer(const rpc::FollowRequest &request, core::TimePoint now) const;
     std::uint64_t confirmedAsk(const rpc::FollowRequest &request) const;
     std::uint64_t positionOf(const rpc::FollowRequest &request) const;
     void addStanding(const FilePacker::StandingRef &standing, std::uint64_t knownVersion, rpc::Standing &message) const;
@@ -90,6 +93,8 @@
     std::vector<Held> m_held;
     Asks m_asks;
     Asks m_confirmed;
+    /** Of the latest confirmation, or of the first call. */
+    std::optional<core::TimePoint> m_confirmedAt;
     bool m_closed = false;
     mutable FilePacker m_packer;
 };
--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -129,9 +129,16 @@
         later(RetryDelay, &Follower::ask);
         return;
     }
-    noteAnswer();
     m_parts.traffic(
         telemetry::ControlMessage::FollowReply, telemetry::Direction::In, core::value(reply).ByteSizeLong());
+    if (core::value(reply).unconfirmed()) {
+        adopt(core::value(reply));
+        core::log(core::LogLevel::Warning, "follow-unconfirmed", {{"control", followed()}});
+        moveOn();
+        later(retryDelay(), &Follower::ask);
+        return;
+    }
+    noteAnswer();
     if (core::value(reply).redirected()) {
         adoptControlHosts(core::value(reply));
         ask();
@@ -352,6 +359,20 @@
     later(RetryDelay, &Follower::sendReports);
 }
 
+std::string Follower::followed() const
+{
+    const core::Lock lock(m_mutex);
+    return m_controls[m_chosen].address;
+}
+
+/** Where all control hosts are on their own, they are asked ever more rarely. */
+core::Duration Follower::retryDelay() const
+{
+    const core::Lock lock(m_mutex);
+    const auto rounds = std::min(m_failures / m_controls.size(), MostDoublings);
+    return RetryDelay * (1U << rounds);
+}
+
 void Follower::noteAnswer()
 {
     const core::Lock lock(m_mutex);
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -83,6 +83,9 @@
     void sendReports();
     void reportEnded(const std::vector<targets::Target> &sent, bool arrived);
     core::Duration followTimeout() const;
+    core::Duration retryDelay() const;
+    /** The address of the control host that is followed. */
+    std::string followed() const;
     void noteAnswer();
     /** Turns to another control host, and for a while not back to this one. */
     void moveOn();
--- a/src/entry/view.h
+++ b/src/entry/view.h
@@ -6,8 +6,8 @@
 
 #include "changes/ledger.h"
 #include "core/rankedmutex.h"
-#include "membership/roster.h"
 #include "membership/permission.h"
+#include "membership/roster.h"
 
 #include <memory>
 #include <vector>
--- a/tests/control/followdesk.cpp
+++ b/tests/control/followdesk.cpp
@@ -124,3 +124,22 @@
         CHECK(reply.targets_size() == 1);
     }
 }
+
+TEST_CASE("entry hosts are sent to another control host where no quorum confirms this one, its peers are not")
+{
+    Fixture fixture;
+    fixture.desk.confirm({}, Start);
+    fixture.ask(fixture.followed("ravne"));
+    auto peer = fixture.followed("ravne");
+    peer.set_peer(true);
+    peer.set_hold_ms(60000);
+    fixture.ask(peer);
+    fixture.desk.serve(Start + 700ms, FollowDesk::News::All);
+    CHECK(fixture.replies.empty());
+    fixture.desk.serve(Start + 2001ms, FollowDesk::News::Standing);
+    REQUIRE(fixture.replies.size() == 1);
+    CHECK(fixture.replies[0].unconfirmed());
+    fixture.desk.confirm({}, Start + 2100ms);
+    fixture.ask(fixture.followed("ravne"));
+    CHECK(fixture.replies.size() == 1);
+}
--- a/tests/membership/roster.cpp
+++ b/tests/membership/roster.cpp
@@ -11,7 +11,8 @@
 
 EntryHost makeHost(int number, std::uint64_t incarnation = 1)
 {
-    return {core::HostId("e" + std::to_string(number)), core::FailureDomain("ravne"), "127.0.0.1:1", incarnation, false};
+    return {
+        core::HostId("e" + std::to_string(number)), core::FailureDomain("ravne"), "127.0.0.1:1", incarnation, false};
 }
 
 HostMap makeHosts(int from, int to)
