--- a/src/entry/follower.cpp
+++ b/src/entry/follower.cpp
@@ -17,7 +17,7 @@
 /** News end a hold at once; its length bounds only how long a silent control host goes unnoticed. */
 constexpr auto Hold = std::chrono::milliseconds(800);
 constexpr auto FollowTimeout = std::chrono::milliseconds(1200);
-/** Where every control host has failed in time, a narrow link may be why: each round then waits twice as long. */
+/** Of time-outs and delays: where every control host fails, a narrow link may be why, and asking more often no help. */
 constexpr std::size_t MostDoublings = 3;
 constexpr auto ReportTimeout = std::chrono::milliseconds(500);
 constexpr auto RetryDelay = std::chrono::milliseconds(100);
@@ -75,18 +75,19 @@
     request.set_hold_ms(static_cast<std::uint32_t>(Hold.count()));
     request.set_ask(noteAsked());
     m_parts.traffic(telemetry::ControlMessage::FollowRequest, telemetry::Direction::Out, request.ByteSizeLong());
-    client()->follow(request, followTimeout(), [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
-        self->m_parts.pool.post([self, reply = std::move(reply)]() {
-            self->take(reply);
+    client()->follow(
+        request, FollowTimeout * backoff(), [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
+            self->m_parts.pool.post([self, reply = std::move(reply)]() {
+                self->take(reply);
+            });
         });
-    });
 }
 
-core::Duration Follower::followTimeout() const
+/** Doubles with each round in which every control host has failed. */
+unsigned Follower::backoff() const
 {
     const core::Lock lock(m_mutex);
-    const auto rounds = std::min(m_failures / m_controls.size(), MostDoublings);
-    return FollowTimeout * (1U << rounds);
+    return 1U << std::min(m_failures / m_controls.size(), MostDoublings);
 }
 
 void Follower::tell()
@@ -135,7 +136,7 @@
         adopt(core::value(reply));
         core::log(core::LogLevel::Warning, "follow-unconfirmed", {{"control", followed()}});
         moveOn();
-        later(retryDelay(), &Follower::ask);
+        later(RetryDelay * backoff(), &Follower::ask);
         return;
     }
     noteAnswer();
@@ -144,8 +145,12 @@
         ask();
         return;
     }
-    adopt(core::value(reply));
+    const bool adopted = adopt(core::value(reply));
     m_parts.afterReply();
+    if (!adopted) {
+        later(RetryDelay, &Follower::ask);
+        return;
+    }
     if (unconfirmedForLong()) {
         moveOn();
         later(RetryDelay, &Follower::ask);
@@ -154,10 +159,10 @@
     ask();
 }
 
-void Follower::adopt(const rpc::FollowReply &reply)
+bool Follower::adopt(const rpc::FollowReply &reply)
 {
     if (!adoptStanding(reply)) {
-        return;
+        return false;
     }
     for (const auto &message : reply.targets()) {
         const auto target = rpc::decode(message);
@@ -172,6 +177,7 @@
     if (m_feedId.exchange(reply.feed_id()) != reply.feed_id()) {
         reportAllOwn();
     }
+    return true;
 }
 
 bool Follower::adoptStanding(const rpc::FollowReply &reply)
@@ -365,14 +371,6 @@
     return m_controls[m_chosen].address;
 }
 
-/** Where all control hosts are on their own, they are asked ever more rarely. */
-core::Duration Follower::retryDelay() const
-{
-    const core::Lock lock(m_mutex);
-    const auto rounds = std::min(m_failures / m_controls.size(), MostDoublings);
-    return RetryDelay * (1U << rounds);
-}
-
 void Follower::noteAnswer()
 {
     const core::Lock lock(m_mutex);
--- a/src/entry/follower.h
+++ b/src/entry/follower.h
@@ -73,7 +73,8 @@
     /** Moves to a control host of the own failure domain where there is one that answers. */
     void preferNear();
     void take(const core::Result<rpc::FollowReply> &reply);
-    void adopt(const rpc::FollowReply &reply);
+    /** Whether the reply's standing could be read; nothing of it is taken otherwise. */
+    bool adopt(const rpc::FollowReply &reply);
     void learn(const targets::Target &target);
     void confirm(const rpc::FollowReply &reply);
     /** When the call numbered @p ask was made; it and those before it are forgotten. */
@@ -82,8 +83,7 @@
     void reportAllOwn();
     void sendReports();
     void reportEnded(const std::vector<targets::Target> &sent, bool arrived);
-    core::Duration followTimeout() const;
-    core::Duration retryDelay() const;
+    unsigned backoff() const;
     /** The address of the control host that is followed. */
     std::string followed() const;
     void noteAnswer();
