--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -26,6 +26,8 @@
 front = "10.1.0.34:8548"
 [fault_tolerance]
 machines = 1
+[limits]
+cpu_share = 0.2
 )";
 
 core::Result<platform::Settings> read(const std::string &text)
@@ -48,16 +50,19 @@
     CHECK(known.firstStart);
     CHECK(known.grace == std::chrono::seconds(6));
     CHECK(known.retrySlack == 62);
+    CHECK(known.processorShare == Approx(0.2));
     CHECK(known.callerListen == "10.1.0.34:8548");
     CHECK(known.readyListen.empty());
 }
 
 TEST_CASE("all mistakes in the settings are named in one go")
 {
-    const auto settings = read("ip = 7\nport_range = [0]\nheartbeat = \"soon\"\nbounds = [\"grace=never\"]\n");
+    const auto settings =
+        read("ip = 7\nport_range = [0]\nheartbeat = \"soon\"\nbounds = [\"grace=never\"]\nlimits.cpu_share = 0\n");
     REQUIRE_FALSE(core::ok(settings));
     const auto &detail = core::error(settings).detail;
-    for (const auto *key : {"node_name", "ip", "zone", "port_range", "heartbeat", "grace", "fault_tolerance"}) {
+    for (const auto *key :
+         {"node_name", "ip", "zone", "port_range", "heartbeat", "grace", "fault_tolerance", "cpu_share"}) {
         CHECK(detail.find(key) != std::string::npos);
     }
 }
