Copy no list of hosts where nothing is told of it, and drop an answer that nobody reads

Found on a read of the whole change: each reply of a peer had the whole list of its hosts copied, though most say nothing of hosts; the check stood at one of the two callers only and now stands in membership::apply. TargetDesk::learn's answer had no reader left.

--- a/src/control/targetdesk.cpp
+++ b/src/control/targetdesk.cpp
@@ -32,16 +32,18 @@
     return reception;
 }
 
-bool TargetDesk::learn(const targets::Target &target, membership::Teller teller)
+void TargetDesk::learn(const targets::Target &target, membership::Teller teller)
 {
     const auto reception = m_table.learn(m_parts.asWithdrawn(target));
     if (reception != targets::Reception::Changed && reception != targets::Reception::Reasserted) {
-        return false;
+        return;
     }
     const auto known = m_table.find(target.id);
     // A word that this host sets right is its own.
     const bool own = reception == targets::Reception::Reasserted;
-    return known && m_parts.hub.learn(*known, own ? membership::Teller::Own : teller);
+    if (known) {
+        m_parts.hub.learn(*known, own ? membership::Teller::Own : teller);
+    }
 }
 
 void TargetDesk::expire(core::TimePoint now)
--- a/src/control/targetdesk.h
+++ b/src/control/targetdesk.h
@@ -29,8 +29,8 @@
     /** Takes @p target's own announcement, with a lease until @p leaseEnd. */
     targets::Reception announce(targets::Target target, core::TimePoint leaseEnd);
 
-    /** Takes what @p teller says of a target. Whether it was new. */
-    bool learn(const targets::Target &target, membership::Teller teller = membership::Teller::Own);
+    /** Takes what @p teller says of a target. */
+    void learn(const targets::Target &target, membership::Teller teller = membership::Teller::Own);
 
     /** Ends the leases that have run out. */
     void expire(core::TimePoint now);
--- a/src/entry/view.cpp
+++ b/src/entry/view.cpp
@@ -25,9 +25,6 @@
 
 void View::learnHosts(const membership::HostNews &news)
 {
-    if (news.empty()) {
-        return;
-    }
     const core::Lock lock(m_mutex);
     membership::apply(news, m_hosts);
 }
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -20,6 +20,9 @@
 
 bool apply(const HostNews &news, HostMap &hosts)
 {
+    if (news.empty()) {
+        return false;
+    }
     auto changed = hosts;
     if (news.whole) {
         changed.clear();
