--- a/tests/platform/configurationfile.cpp
+++ b/tests/platform/configurationfile.cpp
@@ -107,6 +107,20 @@
     CHECK(std::holds_alternative<std::vector<configuration::Mistake>>(parse(document)));
 }
 
+TEST_CASE("the difference between two files names what changed, up to a length")
+{
+    const auto file = core::value(platform::makeConfigurationFile(sample().dump(), settings()));
+    auto changed = sample();
+    changed["routes"]["loans"]["service"] = "one";
+    const auto next = core::value(platform::makeConfigurationFile(changed.dump(), settings()));
+    const auto difference = platform::describeDifference(file, next, 1000);
+    CHECK(json::parse(difference) == json::parse(R"([{"op":"replace","path":"/routes/loans/service","value":"one"}])"));
+    CHECK(platform::describeDifference(file, next, 10).size() == 10);
+    CHECK(platform::describeDifference(file, file, 1000) == "[]");
+    // The first file has no previous one.
+    CHECK_FALSE(json::parse(platform::describeDifference("", file, 100000)).empty());
+}
+
 TEST_CASE("a truncated document is refused")
 {
     const auto text = sample().dump();
