--- a/tests/platform/configurationfile.cpp
+++ b/tests/platform/configurationfile.cpp
@@ -107,6 +107,15 @@
     CHECK(std::holds_alternative<std::vector<configuration::Mistake>>(parse(document)));
 }
 
+TEST_CASE("a route that leaves no time to answer is refused")
+{
+    const auto *const timeout = GENERATE("0ms", "0s", "0.0000000001ms", "-0ms");
+    auto document = sample();
+    document["routes"]["loans"]["timeout"] = timeout;
+    CAPTURE(timeout);
+    CHECK(std::holds_alternative<std::vector<configuration::Mistake>>(parse(document)));
+}
+
 TEST_CASE("the difference between two files names what changed, up to a length")
 {
     const auto file = core::value(platform::makeConfigurationFile(sample().dump(), settings()));
