Check both bounds of every number in an operator's document, and refuse ambiguous ones

Negative counts were converted to large unsigned ones, attempts = 1.5 to 1, a split could have no weight at all, the route that applied depended on the order if two had the same host name and prefix, and of a name that stands twice in an object the last value was used. A heartbeat of zero in the settings gave targets a lease of zero. Each case is a test that failed before.

--- a/tests/platform/configurationfile.cpp
+++ b/tests/platform/configurationfile.cpp
@@ -116,6 +116,58 @@
     CHECK(std::holds_alternative<std::vector<configuration::Mistake>>(parse(document)));
 }
 
+TEST_CASE("a file whose numbers are out of range, or whose routes are ambiguous, is refused")
+{
+    auto document = sample();
+    auto &reads = document["routes"]["reads"];
+    auto &one = document["services"]["one"];
+    const auto defect = GENERATE(range(0, 10));
+    CAPTURE(defect);
+    switch (defect) {
+    case 0:
+        reads["attempts"] = 0;
+        break;
+    case 1:
+        reads["attempts"] = -1;
+        break;
+    case 2:
+        reads["attempts"] = 1.5;
+        break;
+    case 3:
+        reads["priority"] = -1;
+        break;
+    case 4:
+        reads["split"][0]["weight"] = 0;
+        reads["split"][1]["weight"] = 0;
+        break;
+    case 5:
+        one["max_conns"] = 0;
+        break;
+    case 6:
+        one["max_conns"] = 1e12;
+        break;
+    case 7:
+        one["cold_per_s"] = -1.0;
+        break;
+    case 8:
+        reads["attempts"] = true;
+        break;
+    default:
+        document["routes"]["loans"]["path_prefix"] = "/a/";
+        break;
+    }
+    CHECK(std::holds_alternative<std::vector<configuration::Mistake>>(parse(document)));
+}
+
+TEST_CASE("a document in which a name stands twice is refused")
+{
+    const auto text = sample().dump();
+    const auto place = text.find("\"timeout\"");
+    const auto repeated = text.substr(0, place) + R"("timeout":"1s",)" + text.substr(place);
+    CHECK(core::ok(platform::makeConfigurationFile(text, settings())));
+    CHECK(core::error(platform::makeConfigurationFile(repeated, settings())).code == core::ErrorCode::ConfigDuplicate);
+}
+
 TEST_CASE("the difference between two files names what changed, up to a length")
 {
     const auto file = core::value(platform::makeConfigurationFile(sample().dump(), settings()));
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -67,6 +67,13 @@
     }
 }
 
+TEST_CASE("settings without time between two announcements of a target are refused")
+{
+    const auto settings = read(std::string("heartbeat = \"0ms\"\n"));
+    REQUIRE_FALSE(core::ok(settings));
+    CHECK(core::error(settings).detail.find("heartbeat") != std::string::npos);
+}
+
 TEST_CASE("a duration is a number with the unit ms or s")
 {
     CHECK(core::value(platform::parseDuration("1500ms")) == std::chrono::milliseconds(1500));
