--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -169,10 +169,7 @@
             return m_state.apply(payload);
         };
         hooks.restore = [this](const std::string &bytes) {
-            const auto restored = m_state.restore(bytes);
-            if (!core::ok(restored)) {
-                core::log(core::LogLevel::Error, "snapshot-refused", {{"error", describe(core::error(restored))}});
-            }
+            return m_state.restore(bytes);
         };
         hooks.snapshot = [this]() {
             return m_state.snapshot();
--- a/src/control/replicator.cpp
+++ b/src/control/replicator.cpp
@@ -78,7 +78,11 @@
     replicator->m_applied = snapshotIndex(core::value(log));
     replicator->m_snapshotIndex = replicator->m_applied;
     if (core::value(log).snapshot) {
-        replicator->m_hooks.restore(core::value(log).snapshot->payload);
+        const auto restored = replicator->m_hooks.restore(core::value(log).snapshot->payload);
+        if (!core::ok(restored)) {
+            replicator->stop();
+            return core::error(restored);
+        }
     }
     return replicator;
 }
@@ -223,7 +227,12 @@
 void Replicator::applyCommitted(const consensus::Effects &effects, Deferred &deferred)
 {
     if (effects.restore) {
-        m_hooks.restore(effects.restore->payload);
+        const auto restored = m_hooks.restore(effects.restore->payload);
+        if (!core::ok(restored)) {
+            core::log(core::LogLevel::Error, "snapshot-refused", {{"error", describe(core::error(restored))}});
+            m_replica.storageFailed();
+            return;
+        }
         m_applied = effects.restore->last.index;
         m_snapshotIndex = m_applied;
     }
--- a/src/control/replicator.h
+++ b/src/control/replicator.h
@@ -23,8 +23,11 @@
 struct ReplicatorHooks {
     /** Applies a committed command and returns its answer. Called in log order, with the mutex locked. */
     std::function<std::string(const std::string &)> apply;
-    /** Replaces the replicated state by a snapshot. Called with the mutex locked. */
-    std::function<void(const std::string &)> restore;
+    /**
+     * Replaces the replicated state by a snapshot. After an error this member takes no part any more, as its state is
+     * older than the log says. Called with the mutex locked.
+     */
+    std::function<core::Status(const std::string &)> restore;
     /** Returns a snapshot of the replicated state. Called with the mutex locked. */
     std::function<std::string()> snapshot;
     /** Sends a message, which may be lost. Called without the mutex. */
@@ -43,7 +46,10 @@
 class Replicator
 {
 public:
-    /** Restores the log from the journal in @p folder. Errors: those of Journal::open and Replica::Builder::build. */
+    /**
+     * Restores the log from the journal in @p folder. Errors: those of Journal::open, Replica::Builder::build
+     * and the restore hook.
+     */
     static core::Result<std::unique_ptr<Replicator>> open(const std::string &folder,
                                                           const core::HostId &host,
                                                           ReplicatorHooks hooks,
--- a/tests/control/replicator.cpp
+++ b/tests/control/replicator.cpp
@@ -2,6 +2,7 @@
 
 #include "support/files.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <mutex>
@@ -18,6 +19,25 @@
 const MemberId Self{core::HostId("c1"), DiskId("initial")};
 const MemberId Peer{core::HostId("c2"), DiskId("initial")};
 
+/** Hooks of a state machine without state; messages are lost. */
+control::ReplicatorHooks emptyHooks()
+{
+    control::ReplicatorHooks hooks;
+    hooks.apply = [](const std::string &payload) {
+        return "applied " + payload;
+    };
+    hooks.restore = [](const std::string &) -> core::Status {
+        return std::monostate{};
+    };
+    hooks.snapshot = []() {
+        return std::string();
+    };
+    hooks.send = [](const Message &) {};
+    hooks.applied = []() {};
+    hooks.now = core::steadyNow;
+    return hooks;
+}
+
 /** A replicator with two other members, which the test plays. */
 class Fixture
 {
@@ -26,14 +46,7 @@
     {
         const std::string data = m_folder.path() / "data";
         REQUIRE(core::ok(Replicator::createDataFolder(data, Self.host, {Self.host, Peer.host, core::HostId("c3")})));
-        control::ReplicatorHooks hooks;
-        hooks.apply = [](const std::string &payload) {
-            return "applied " + payload;
-        };
-        hooks.restore = [](const std::string &) {};
-        hooks.snapshot = []() {
-            return std::string();
-        };
+        auto hooks = emptyHooks();
         hooks.send = [this](const Message &message) {
             const std::lock_guard lock(m_mutex);
             if (message.to == Peer) {
@@ -41,7 +54,6 @@
                 m_hasSent.notify_all();
             }
         };
-        hooks.applied = []() {};
         hooks.now = [this]() {
             return m_now;
         };
@@ -130,3 +142,33 @@
     REQUIRE(answers.size() == 1);
     CHECK(core::error(answers[0]).code == core::ErrorCode::NoQuorum);
 }
+
+TEST_CASE("a control host whose snapshot can't be restored does not start")
+{
+    const support::TemporaryFolder folder;
+    const std::string data = folder.path() / "data";
+    REQUIRE(core::ok(Replicator::createDataFolder(data, Self.host, {Self.host})));
+    {
+        auto opened = Replicator::open(data, Self.host, emptyHooks(), core::seededRandom(1));
+        REQUIRE(core::ok(opened));
+        auto &replicator = *core::value(opened);
+        std::atomic<unsigned> applied = 0;
+        for (unsigned i = 0; i < 10000 && applied < 600; ++i) {
+            replicator.tick();
+            replicator.submit("change", [&applied](const core::Result<std::string> &answer) {
+                applied += core::ok(answer) ? 1 : 0;
+            });
+            std::this_thread::sleep_for(1ms);
+        }
+        REQUIRE(applied >= 600);
+        replicator.stop();
+    }
+    CHECK(core::ok(Replicator::open(data, Self.host, emptyHooks(), core::seededRandom(1))));
+    auto hooks = emptyHooks();
+    hooks.restore = [](const std::string &) -> core::Status {
+        return core::Error{core::ErrorCode::SnapshotDamaged, "a file that this version refuses"};
+    };
+    const auto refused = Replicator::open(data, Self.host, hooks, core::seededRandom(1));
+    REQUIRE_FALSE(core::ok(refused));
+    CHECK(core::error(refused).code == core::ErrorCode::SnapshotDamaged);
+}
