Read the signals in targets' responses as one type, and log the limits that they name

A limit ends with a response to a later request that names none; what can't be read keeps the earlier one. A probe whose response has no load report now counts as answered: such targets were taken for unreachable.

--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -312,7 +312,7 @@
                           ? http::relayOn(std::move(connection), request.exchange, m_dependencies.connections, options)
                           : http::relay(request.exchange, m_dependencies.connections, options);
         const auto ended = m_dependencies.timers.now();
-        m_dependencies.router.release(assignment, {attemptOutcome(result), ended - started, result.load}, ended);
+        m_dependencies.router.release(assignment, {attemptOutcome(result), ended - started, result.signals}, ended);
         m_dependencies.scheduler.notifyCapacity(request.service.name);
         if (result.outcome.failure) {
             logFailure(request, *assignment.target, result);
@@ -452,7 +452,7 @@
     {
         std::vector<core::TargetId> responding;
         for (const auto &each : probed) {
-            if (each.probe.load) {
+            if (each.probe.signals) {
                 responding.push_back(each.target->id);
             }
         }
@@ -522,6 +522,7 @@
         for (const auto &target : chosen) {
             endpoints.push_back({target->id, target->address});
         }
+        const auto sent = m_dependencies.timers.now();
         auto results = http::probeLoad(
             request.exchange,
             m_dependencies.connections,
@@ -531,8 +532,8 @@
         std::vector<ProbedTarget> probed;
         probed.reserve(chosen.size());
         for (std::size_t position = 0; position < chosen.size(); ++position) {
-            if (results[position].load) {
-                m_dependencies.router.recordLoadReport(*chosen[position], *results[position].load, now);
+            if (results[position].signals) {
+                m_dependencies.router.recordSignals(*chosen[position], *results[position].signals, sent, now);
             } else {
                 m_dependencies.router.recordFailedProbe(*chosen[position], results[position].failed, now);
             }
--- a/src/http/loadprobe.cpp
+++ b/src/http/loadprobe.cpp
@@ -76,7 +76,7 @@
             m_connection->socket.close(ignored);
             return {};
         }
-        m_result.failed = !m_result.load;
+        m_result.failed = !m_result.signals;
         return std::move(m_result);
     }
 
@@ -114,7 +114,7 @@
         }
         m_hasEnded = true;
         if (answered) {
-            m_result.load = m_round->protocolHooks.readLoad(m_answer.get());
+            m_result.signals = m_round->protocolHooks.readSignals(m_answer.get());
             if (m_answer.keep_alive() && m_connection->buffer.size() == 0) {
                 m_connection->reused = true;
                 m_result.connection = std::move(m_connection);
--- a/src/http/loadprobe.h
+++ b/src/http/loadprobe.h
@@ -7,7 +7,7 @@
 #include "http/connectionpool.h"
 #include "http/exchange.h"
 #include "http/protocolhooks.h"
-#include "routing/loadreport.h"
+#include "routing/targetsignals.h"
 
 #include <memory>
 #include <optional>
@@ -25,9 +25,9 @@
 
 /** The result of probing one target. */
 struct LoadProbeResult {
-    /** Empty if the target did not respond in time, or its response has no load report. */
-    std::optional<routing::LoadReport> load;
-    /** Whether the connection failed or the response has no load report. A late response is not a failure. */
+    /** Empty if the target did not respond in time, or another target did. */
+    std::optional<routing::TargetSignals> signals;
+    /** Whether the connection failed or another target responded. A late response is not a failure. */
     bool failed = false;
     /** Set if the target responded and keeps the connection open: the next request may be sent on it. */
     std::unique_ptr<TargetConnection> connection;
--- a/src/http/protocolhooks.h
+++ b/src/http/protocolhooks.h
@@ -9,7 +9,7 @@
 #include "core/time.h"
 #include "http/exchange.h"
 #include "requests/outcome.h"
-#include "routing/loadreport.h"
+#include "routing/targetsignals.h"
 
 #include <functional>
 #include <optional>
@@ -39,7 +39,8 @@
 /** What classifying the head of a response yields. */
 struct AnswerClassification {
     AnswerKind kind = AnswerKind::Genuine;
-    std::optional<routing::LoadReport> load;
+    /** Empty if the response is not from the target of this request. */
+    std::optional<routing::TargetSignals> signals;
 };
 
 /** What a refusal is made from. */
@@ -61,8 +62,8 @@
     std::function<AnswerClassification(const RequestHead &, const AnswerHead &)> classifyAnswer;
     /** Makes the head of a probe request for the load of target @p id at @p path. */
     std::function<RequestHead(const std::string &path, const core::TargetId &id)> makeLoadProbe;
-    /** Returns the load report in the response to a probe request, if there is one. */
-    std::function<std::optional<routing::LoadReport>(const AnswerHead &)> readLoad;
+    /** Returns the signals in the response to a probe request; nothing if another target responded. */
+    std::function<std::optional<routing::TargetSignals>(const AnswerHead &)> readSignals;
     /** Makes the reply to a request that this host refuses. */
     std::function<Reply(const RefusalDetails &)> makeRefusal;
 };
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -50,8 +50,8 @@
     bool bodyConsumed = false;
     /** Whether the caller closed its connection or read too slowly, so that it gets no further response. */
     bool callerLeft = false;
-    /** The load report in the target's response, if any. */
-    std::optional<routing::LoadReport> load;
+    /** The signals in the target's response, if there was one. */
+    std::optional<routing::TargetSignals> signals;
     /** Whether the response has a 5xx status, unless that means that the request was not run. */
     bool serverError = false;
     /** Time spent waiting for the head of the response after the request's head was sent. */
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -488,7 +488,7 @@
     result.headWaitTime = m_headWaitTime;
     const bool shedProvesNotRun = m_options.shedIsNotRun || m_classification.kind == AnswerKind::NotRun;
     result.outcome = {requests::provenRunState(m_stage, shedProvesNotRun), m_failure};
-    result.load = m_classification.load;
+    result.signals = m_classification.signals;
     result.serverError = m_serverError;
     result.sentToCaller = m_sentToCaller;
     result.bodyConsumed = !m_exchange.body().canRewind();
--- a/src/replay/replay.cpp
+++ b/src/replay/replay.cpp
@@ -245,7 +245,9 @@
         auto &host = hostOf(sent.request);
         ++m_summary.messages;
         host.router->release(
-            sent.assignment, {outcome, now() - sent.start, routing::LoadReport{load, 0, 0, 1, {}, true}}, now());
+            sent.assignment,
+            {outcome, now() - sent.start, routing::TargetSignals{routing::LoadReport{load, 0, 0, 1, {}, true}}},
+            now());
         const bool isAnswered = outcome == routing::AttemptOutcome::Answered;
         request.runState = requests::combineRunStates(request.runState, isAnswered ? RunState::Ran : RunState::NotRun);
         if (isAnswered) {
--- a/src/routing/attemptend.h
+++ b/src/routing/attemptend.h
@@ -6,7 +6,7 @@
 
 #include "core/enumtable.h"
 #include "core/time.h"
-#include "routing/loadreport.h"
+#include "routing/targetsignals.h"
 
 #include <array>
 #include <cstdint>
@@ -38,8 +38,8 @@
 struct AttemptEnd {
     AttemptOutcome outcome = AttemptOutcome::Answered;
     core::Duration latency{};
-    /** Load report of the target, if its response carried one. */
-    std::optional<LoadReport> report;
+    /** The signals in the target's response; empty if there was none. */
+    std::optional<TargetSignals> signals;
 };
 
 } // namespace pimentoshed::routing
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -119,11 +119,14 @@
     }
 }
 
-void Router::recordLoadReport(const targets::Target &target, const LoadReport &report, core::TimePoint now)
+void Router::recordSignals(const targets::Target &target,
+                           const TargetSignals &signals,
+                           core::TimePoint sent,
+                           core::TimePoint now)
 {
     if (const auto guarded = find(target.service)) {
         const core::Lock lock(guarded->mutex);
-        guarded->router.recordLoadReport(target.id, report, now);
+        guarded->router.recordSignals(target.id, signals, sent, now);
     }
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -57,8 +57,11 @@
     /** Records a load probe that brought no report: it @p failed, or its response did not come in time. */
     void recordFailedProbe(const targets::Target &target, bool failed, core::TimePoint now);
 
-    /** Records a load report of a target. */
-    void recordLoadReport(const targets::Target &target, const LoadReport &report, core::TimePoint now);
+    /** Records the signals in a response of a target to a request sent at @p sent. */
+    void recordSignals(const targets::Target &target,
+                       const TargetSignals &signals,
+                       core::TimePoint sent,
+                       core::TimePoint now);
 
     /** Ends an assignment. Ignored if it was released before. */
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -1,5 +1,7 @@
 #include "routing/servicerouter.h"
 
+#include "core/log.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -110,6 +112,7 @@
     entry.target = std::make_shared<const targets::Target>(target);
     if (restarted) {
         clearOutlier(entry);
+        entry.requestLimit.reset();
     }
     updateFlags(entry);
     if (target.condition == targets::Condition::Gone && entry.inFlightAttempts.empty()) {
@@ -182,11 +185,14 @@
     entry.unreachableUntil = now + entry.unreachableBackoff;
 }
 
-void ServiceRouter::recordLoadReport(const core::TargetId &id, const LoadReport &report, core::TimePoint now)
+void ServiceRouter::recordSignals(const core::TargetId &id,
+                                  const TargetSignals &signals,
+                                  core::TimePoint sent,
+                                  core::TimePoint now)
 {
     const auto found = m_positions.find(id);
     if (found != m_positions.end()) {
-        setLoadReport(m_entries[found->second], report, now);
+        setSignals(m_entries[found->second], signals, sent, now);
     }
 }
 
@@ -242,7 +248,8 @@
     return {static_cast<unsigned>(entry.inFlightAttempts.size()),
             entry.outlierState.isOutlier(),
             entry.isEjected,
-            entry.coldUntil.has_value()};
+            entry.coldUntil.has_value(),
+            entry.requestLimit};
 }
 
 core::Duration ServiceRouter::usualProcessingTime() const
@@ -304,8 +311,8 @@
                                  const AttemptEnd &end,
                                  core::TimePoint now)
 {
-    if (end.report) {
-        setLoadReport(entry, *end.report, now);
+    if (end.signals) {
+        setSignals(entry, *end.signals, attempt.start, now);
     }
     if (end.outcome == AttemptOutcome::Unreachable) {
         backOff(entry, now);
@@ -389,11 +396,41 @@
     return entry.target->slots > 0 ? entry.target->slots : m_service.slots;
 }
 
-void ServiceRouter::setLoadReport(Entry &entry, const LoadReport &report, core::TimePoint now)
+void ServiceRouter::setSignals(Entry &entry, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now)
 {
     entry.unreachableUntil = {};
     entry.unreachableBackoff = {};
     entry.lateProbes = 0;
+    if (signals.load) {
+        setLoadReport(entry, *signals.load, now);
+    }
+    setRequestLimit(entry, signals, sent, now);
+}
+
+void ServiceRouter::setRequestLimit(Entry &entry,
+                                    const TargetSignals &signals,
+                                    core::TimePoint sent,
+                                    core::TimePoint now)
+{
+    const auto previous = entry.requestLimit;
+    if (signals.limitStatement == LimitStatement::Named) {
+        entry.requestLimit = signals.requestLimit;
+        entry.limitNamedAt = now;
+    } else if (signals.limitStatement == LimitStatement::None && sent >= entry.limitNamedAt) {
+        // Responses to earlier requests may come after the one that named the limit.
+        entry.requestLimit.reset();
+    }
+    if (entry.requestLimit != previous) {
+        core::log(core::LogLevel::Info,
+                  "target-limit",
+                  {{"target", entry.target->id.str()},
+                   {"statement", core::nameOf(LimitStatementNames, signals.limitStatement)},
+                   {"per_second", entry.requestLimit.value_or(0)}});
+    }
+}
+
+void ServiceRouter::setLoadReport(Entry &entry, const LoadReport &report, core::TimePoint now)
+{
     entry.report = report;
     entry.reportedAt = now;
     entry.ownInFlightAtReport = entry.inFlightAttempts.size();
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -70,6 +70,8 @@
     bool isEjected = false;
     /** Whether the target was found to be cold although it may announce that it is warm. */
     bool isAssumedCold = false;
+    /** Requests per second that the target takes from all hosts together, if it names a limit. */
+    std::optional<double> requestLimit;
 };
 
 /**
@@ -105,8 +107,11 @@
     /** Records a load probe that brought no report: it @p failed, or its response did not come in time. */
     void recordFailedProbe(const core::TargetId &id, bool failed, core::TimePoint now);
 
-    /** Records a load report of a target. */
-    void recordLoadReport(const core::TargetId &id, const LoadReport &report, core::TimePoint now);
+    /** Records the signals in a response of a target to a request sent at @p sent. */
+    void recordSignals(const core::TargetId &id,
+                       const TargetSignals &signals,
+                       core::TimePoint sent,
+                       core::TimePoint now);
 
     /** Ends an assignment. Ignored if it was released before. */
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
@@ -149,6 +154,10 @@
         core::Duration unreachableBackoff{};
         /** Load probes in a row that were not answered in time. */
         unsigned lateProbes = 0;
+        /** Requests per second that the target takes from all hosts together, if it names a limit. */
+        std::optional<double> requestLimit;
+        /** When the limit was last named. */
+        core::TimePoint limitNamedAt{};
     };
 
     /** Sets isServing and isLocal. */
@@ -164,7 +173,9 @@
     unsigned slots(const Entry &entry) const;
     core::Duration meanLatency(const Entry &entry) const;
     static void backOff(Entry &entry, core::TimePoint now);
+    void setSignals(Entry &entry, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now);
     void setLoadReport(Entry &entry, const LoadReport &report, core::TimePoint now);
+    static void setRequestLimit(Entry &entry, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now);
     /** Estimate of the requests that the target has now, of all hosts. */
     double estimatedLoad(const Entry &entry, core::TimePoint now) const;
     double slowness(const Entry &entry, core::TimePoint now) const;
--- a/tests/platform/httpprotocol.cpp
+++ b/tests/platform/httpprotocol.cpp
@@ -93,11 +93,44 @@
     CHECK(head["X-Request-Id"] == "r1");
 }
 
+TEST_CASE("a request limit is a finite decimal number from 0; anything else is unreadable")
+{
+    using routing::LimitStatement;
+    const auto read = [](const std::string &limit) {
+        return *platform::platformProtocolHooks().readSignals(answer(status::ok, {{"Server-Limit", limit}}));
+    };
+    CHECK(read("4.5") == routing::TargetSignals{{}, LimitStatement::Named, 4.5});
+    CHECK(read("0") == routing::TargetSignals{{}, LimitStatement::Named, 0});
+    CHECK(read("1e300").limitStatement == LimitStatement::Named);
+    const auto *const text = GENERATE("-1", "nan", "inf", "1e999", "many", "4,5", "4 5", "4.5/s");
+    CAPTURE(text);
+    CHECK(read(text) == routing::TargetSignals{{}, LimitStatement::Unreadable, 0});
+    const auto none = platform::platformProtocolHooks().readSignals(answer(status::ok, {}));
+    CHECK(none->limitStatement == LimitStatement::None);
+}
+
+TEST_CASE("signals are read only from responses of the target of the request")
+{
+    const auto hooks = platform::platformProtocolHooks();
+    const auto limited = [&hooks](status code, std::vector<std::pair<std::string, std::string>> headers) {
+        headers.emplace_back("Server-Limit", "3");
+        return hooks.classifyAnswer(request(), answer(code, headers)).signals.has_value();
+    };
+    CHECK(limited(status::ok, {{"X-Request-Id", "r1"}, {"X-Response-Sig", "s"}}));
+    CHECK(limited(status::internal_server_error, {{"X-Request-Id", "r1"}}));
+    CHECK(limited(status::service_unavailable, {{"X-Request-Id", "r1"}, {"X-Not-Executed", "1"}}));
+    CHECK_FALSE(limited(status::ok, {{"X-Request-Id", "r0"}, {"X-Response-Sig", "s"}}));
+    CHECK_FALSE(limited(status::ok, {{"X-Request-Id", "r1"}}));
+    CHECK_FALSE(limited(status::misdirected_request, {}));
+    CHECK_FALSE(hooks.readSignals(answer(status::misdirected_request, {{"Server-Limit", "3"}})));
+}
+
 TEST_CASE("the load header is decoded with or without the slowness, and ignored if it is invalid")
 {
     const auto read = [](const std::string &load) {
-        return platform::platformProtocolHooks().readLoad(
-            answer(status::ok, {{"X-Load", load}, {"X-Cold-Ms", "1200"}}));
+        return platform::platformProtocolHooks()
+            .readSignals(answer(status::ok, {{"X-Load", load}, {"X-Cold-Ms", "1200"}}))
+            ->load;
     };
     const auto report = read("3,1,6,500");
     REQUIRE(report);
@@ -111,5 +144,5 @@
     CHECK_FALSE(read("3,x,6"));
     CHECK_FALSE(read(""));
     const auto unhealthy = answer(status::service_unavailable, {{"X-Load", "0,0,6"}});
-    CHECK_FALSE(platform::platformProtocolHooks().readLoad(unhealthy)->healthy);
+    CHECK_FALSE(platform::platformProtocolHooks().readSignals(unhealthy)->load->healthy);
 }
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -246,3 +246,27 @@
     canSend = true;
     CHECK(serve(5s) > 0);
 }
+
+TEST_CASE("a request limit holds until a response to a later request names another or none")
+{
+    using routing::LimitStatement;
+    auto router = makeRouter(1);
+    const core::TargetId id("t0");
+    const auto record = [&](LimitStatement statement, double limit, core::Duration sent, core::Duration received) {
+        router.recordSignals(id, {{}, statement, limit}, Start + sent, Start + received);
+        return router.status(id).requestLimit;
+    };
+    CHECK(record(LimitStatement::None, 0, 0ms, 1ms) == std::nullopt);
+    CHECK(record(LimitStatement::Unreadable, 0, 0ms, 1ms) == std::nullopt);
+    CHECK(record(LimitStatement::Named, 5, 1ms, 10ms) == 5.0);
+    CHECK(record(LimitStatement::Unreadable, 0, 11ms, 12ms) == 5.0);
+    // The response to a request that was sent before the limit was named.
+    CHECK(record(LimitStatement::None, 0, 5ms, 13ms) == 5.0);
+    CHECK(record(LimitStatement::Named, 2.5, 14ms, 15ms) == 2.5);
+    CHECK(record(LimitStatement::None, 0, 15ms, 16ms) == std::nullopt);
+    CHECK(record(LimitStatement::Named, 0, 17ms, 18ms) == 0.0);
+    auto restarted = makeTarget("t0");
+    restarted.version.incarnation = 2;
+    router.update(restarted);
+    CHECK(router.status(id).requestLimit == std::nullopt);
+}
