--- /dev/null
+++ b/tests/processes/platformfleet.cpp
@@ -0,0 +1,258 @@
+#include "processes/platformfleet.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace pimentoshed::processes
+{
+
+namespace
+{
+
+constexpr const char *HostName = "loans.example";
+constexpr const char *Service = "loans";
+constexpr unsigned ControlPort = 8544;
+constexpr unsigned CallerPort = 8548;
+constexpr unsigned ReadyPort = 8542;
+constexpr unsigned TargetPort = 8080;
+constexpr unsigned FirstEntry = 10;
+constexpr unsigned FirstTarget = 100;
+constexpr auto StartLimit = std::chrono::seconds(10);
+
+const std::string Configuration = R"({"version":"00000001","base_version":"00000000",
+    "routes":{"reads":{"hostname":"loans.example","path_prefix":"/a/","kind":"safe","timeout":"1000ms","slo":"400ms",
+                       "priority":0,"service":"loans","attempts":2},
+              "writes":{"hostname":"loans.example","path_prefix":"/b/","kind":"unsafe","timeout":"1000ms",
+                        "slo":"400ms","priority":0,"service":"loans","attempts":2}},
+    "services":{"loans":{"health_path":"/health","max_conns":260,"cold":"3s","cold_per_s":20.0}},
+    "limits":{"max_header_bytes":16384,"max_body_bytes":65536}})";
+
+bool hasHeader(const http::Reply &reply, const std::string &name)
+{
+    return std::any_of(reply.headers.begin(), reply.headers.end(), [&name](const http::Header &header) {
+        return header.first == name;
+    });
+}
+
+void setDefault(http::Reply &reply, const std::string &name, const std::string &value)
+{
+    if (!hasHeader(reply, name)) {
+        reply.headers.emplace_back(name, value);
+    }
+}
+
+} // namespace
+
+bool ReceivedRequest::isProbe() const
+{
+    return path == "/health";
+}
+
+PlatformTarget::PlatformTarget(std::string id, std::string address, core::Duration processingTime, TargetScript script)
+    : m_id(std::move(id))
+    , m_address(std::move(address))
+    , m_processingTime(processingTime)
+    , m_script(std::move(script))
+    , m_pool(2)
+{
+    auto server = http::Server::Builder(m_pool.context())
+                      .address(m_address)
+                      .handler([this](http::Exchange &exchange) {
+                          answer(exchange);
+                      })
+                      .start();
+    if (!core::ok(server)) {
+        throw std::runtime_error(core::describe(core::error(server)));
+    }
+    m_server = core::value(server);
+}
+
+PlatformTarget::~PlatformTarget()
+{
+    m_server->drain();
+    m_pool.stop();
+}
+
+unsigned PlatformTarget::announce(const std::string &control, const std::string &state)
+{
+    http::ClientRequest request;
+    request.method = "PUT";
+    request.target = "/instances/" + m_id;
+    request.body =
+        fmt::format(R"({{"service":"{}","address":"{}","zone":"ravne","version":"v1","slots":6,"state":"{}",)"
+                    R"("cold_left":"0ms","seq":{},"born":1700000000000}})",
+                    Service,
+                    m_address,
+                    state,
+                    ++m_sequence);
+    const auto answered = http::fetch(control, request, std::chrono::seconds(2));
+    return core::ok(answered) ? core::value(answered).status : 0;
+}
+
+std::vector<ReceivedRequest> PlatformTarget::requests() const
+{
+    return received(false);
+}
+
+std::vector<ReceivedRequest> PlatformTarget::probes() const
+{
+    return received(true);
+}
+
+std::vector<ReceivedRequest> PlatformTarget::received(bool probes) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<ReceivedRequest> found;
+    std::copy_if(m_received.begin(), m_received.end(), std::back_inserter(found), [probes](const auto &request) {
+        return request.isProbe() == probes;
+    });
+    return found;
+}
+
+void PlatformTarget::answer(http::Exchange &exchange)
+{
+    constexpr std::uint64_t BodyBytes = 65536;
+    const ReceivedRequest request{
+        core::steadyNow(), std::string(exchange.path()), std::string(exchange.header("X-Request-Id"))};
+    exchange.readBody(BodyBytes);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_received.push_back(request);
+    }
+    if (!request.isProbe()) {
+        boost::asio::steady_timer timer(m_pool.context(),
+                                        std::chrono::duration_cast<std::chrono::microseconds>(m_processingTime));
+        boost::system::error_code ignored;
+        timer.async_wait(exchange.yield()[ignored]);
+    }
+    auto reply = m_script(request);
+    if (!request.id.empty()) {
+        setDefault(reply, "X-Request-Id", request.id);
+    }
+    setDefault(reply, "X-Response-Sig", "s");
+    setDefault(reply, "X-Instance-Id", m_id);
+    setDefault(reply, "X-Load", "0,0,6,100");
+    exchange.send(reply);
+}
+
+PlatformFleet::PlatformFleet(unsigned subnet, unsigned entryHosts)
+    : m_subnet(subnet)
+{
+    const auto start = [this](const std::string &role, const std::string &name, unsigned host) {
+        const auto settings = writeSettings(name, host, role == "control");
+        return Process({"/usr/bin/env", "PIMENTOSHED_CONFIG=" + settings, PIMENTOSHED_BINARY, "platform", role},
+                       m_folder.path() / (name + ".log"));
+    };
+    m_control = start("control", "control", 1);
+    for (unsigned i = 0; i < entryHosts; ++i) {
+        m_entries.push_back(start("entry", fmt::format("entry-{}", i), FirstEntry + i));
+    }
+    const auto isConfigured = [this]() {
+        const auto answer = sendRequest(controlAddress(), "/config", "PUT", Configuration);
+        return core::ok(answer) && core::value(answer).status == 200;
+    };
+    const auto areReady = [this]() {
+        for (unsigned i = 0; i < m_entries.size(); ++i) {
+            const auto answer =
+                sendRequest(fmt::format("127.{}.0.{}:{}", m_subnet, FirstEntry + i, ReadyPort), "/ready");
+            if (!core::ok(answer) || core::value(answer).status != 200) {
+                return false;
+            }
+        }
+        return true;
+    };
+    if (!eventually(isConfigured, StartLimit) || !eventually(areReady, StartLimit)) {
+        throw std::runtime_error("the hosts were not ready within 10 s:\n"
+                                 + lastLines(m_folder.path() / "control.log", 10));
+    }
+}
+
+std::string PlatformFleet::writeSettings(const std::string &name, unsigned host, bool isControl)
+{
+    const auto ip = fmt::format("127.{}.0.{}", m_subnet, host);
+    const std::string path = m_folder.path() / (name + ".toml");
+    std::ofstream file(path);
+    file << fmt::format("node_name = \"{}\"\nip = \"{}\"\nzone = \"ravne\"\nport_range = [7540,7555]\n", name, ip)
+         << fmt::format("seeds = [\"{}\"]\nbootstrap = true\nheartbeat = \"1500ms\"\n", controlAddress())
+         << "bounds = [\"grace=6s\",\"ttl_max=5s\",\"retry_ratio=0.2\",\"retry_slack=62\"]\n"
+         << "fault_tolerance.machines = 0\nlimits.cpu_share = 1.0\nzones.ravne = \"koroska\"\n";
+    if (isControl) {
+        file << fmt::format("data_dir = \"{}\"\n", (m_folder.path() / "data").string())
+             << fmt::format("listen.control = \"{}\"\n", controlAddress());
+    } else {
+        file << fmt::format("listen.front = \"{}:{}\"\nlisten.ready = \"{}:{}\"\n", ip, CallerPort, ip, ReadyPort);
+    }
+    return path;
+}
+
+std::string PlatformFleet::controlAddress() const
+{
+    return fmt::format("127.{}.0.1:{}", m_subnet, ControlPort);
+}
+
+std::string PlatformFleet::callerAddress(unsigned entry) const
+{
+    return fmt::format("127.{}.0.{}:{}", m_subnet, FirstEntry + entry, CallerPort);
+}
+
+std::string PlatformFleet::targetAddress(unsigned target) const
+{
+    return fmt::format("127.{}.0.{}:{}", m_subnet, FirstTarget + target, TargetPort);
+}
+
+Process &PlatformFleet::entry(unsigned number)
+{
+    return m_entries.at(number);
+}
+
+Process &PlatformFleet::control()
+{
+    return m_control;
+}
+
+bool PlatformFleet::waitUntilServing() const
+{
+    for (unsigned i = 0; i < m_entries.size(); ++i) {
+        const auto isServing = [this, i]() {
+            const auto answer = request(i);
+            return core::ok(answer) && core::value(answer).status == 200;
+        };
+        if (!eventually(isServing, std::chrono::seconds(5))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+core::Result<http::ClientAnswer> PlatformFleet::request(unsigned entry, const std::string &method) const
+{
+    http::ClientRequest request;
+    request.method = method;
+    request.target = method == "GET" ? "/a/x" : "/b/x";
+    request.headers = {
+        {"Host", HostName}, {"X-Request-Id", fmt::format("r{}", ++m_nextRequest)}, {"X-Timeout-Ms", "1000"}};
+    return http::fetch(callerAddress(entry), request, std::chrono::seconds(2));
+}
+
+std::vector<core::Result<http::ClientAnswer>> PlatformFleet::load(double perSecond, core::Duration length) const
+{
+    const auto count = static_cast<unsigned>(perSecond * core::toSeconds(length));
+    std::vector<core::Result<http::ClientAnswer>> answers(count, core::Error{});
+    std::vector<std::thread> callers;
+    const auto start = core::steadyNow();
+    for (unsigned i = 0; i < count; ++i) {
+        std::this_thread::sleep_until(start + i * length / count);
+        callers.emplace_back([this, i, &answers]() {
+            answers[i] = request(i % static_cast<unsigned>(m_entries.size()));
+        });
+    }
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    return answers;
+}
+
+} // namespace pimentoshed::processes
--- /dev/null
+++ b/tests/processes/platformfleet.h
@@ -0,0 +1,101 @@
+/**
+ * @file
+ * Starts the hosts of the users' platform as processes, and targets within the test that respond as it says.
+ */
+#pragma once
+
+#include "core/timerservice.h"
+#include "core/workerpool.h"
+#include "http/server.h"
+#include "processes/harness.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace pimentoshed::processes
+{
+
+/** A request that a PlatformTarget received. */
+struct ReceivedRequest {
+    core::TimePoint at{};
+    std::string path;
+    std::string id;
+
+    bool isProbe() const;
+};
+
+/** The response of a PlatformTarget; its id, signature and load are added if they are not among the headers. */
+using TargetScript = std::function<http::Reply(const ReceivedRequest &)>;
+
+/** A target on the users' platform that announces itself to a control host. */
+class PlatformTarget
+{
+public:
+    /** Responds by @p script, to requests after @p processingTime. */
+    PlatformTarget(std::string id, std::string address, core::Duration processingTime, TargetScript script);
+    ~PlatformTarget();
+    PlatformTarget(const PlatformTarget &) = delete;
+    PlatformTarget &operator=(const PlatformTarget &) = delete;
+
+    /** Announces this target once to the control host at @p control. Returns the status of the response, or 0. */
+    unsigned announce(const std::string &control, const std::string &state = "ready");
+
+    /** The requests received so far; without load probes. */
+    std::vector<ReceivedRequest> requests() const;
+    std::vector<ReceivedRequest> probes() const;
+
+private:
+    void answer(http::Exchange &exchange);
+    std::vector<ReceivedRequest> received(bool probes) const;
+
+    const std::string m_id;
+    const std::string m_address;
+    const core::Duration m_processingTime;
+    const TargetScript m_script;
+    mutable std::mutex m_mutex;
+    std::vector<ReceivedRequest> m_received;
+    unsigned m_sequence = 0;
+    core::WorkerPool m_pool;
+    std::shared_ptr<http::Server> m_server;
+};
+
+/** One control host and several entry hosts in one failure domain, and a configuration with one route and service. */
+class PlatformFleet
+{
+public:
+    /** Addresses are 127.@p subnet.0.x. Waits until every entry host is ready. Throws std::runtime_error. */
+    PlatformFleet(unsigned subnet, unsigned entryHosts);
+
+    std::string controlAddress() const;
+    std::string callerAddress(unsigned entry) const;
+    std::string targetAddress(unsigned target) const;
+    Process &entry(unsigned number);
+    Process &control();
+
+    /** Waits until every entry host sends requests to some target. Returns whether that happened within 5 s. */
+    bool waitUntilServing() const;
+
+    /** Sends one request of the route to entry host @p entry and returns its response. */
+    core::Result<http::ClientAnswer> request(unsigned entry, const std::string &method = "GET") const;
+
+    /**
+     * Sends @p perSecond requests a second for @p length, spread over the entry hosts, each on a connection and thread
+     * of its own. Returns the responses.
+     */
+    std::vector<core::Result<http::ClientAnswer>> load(double perSecond, core::Duration length) const;
+
+private:
+    std::string writeSettings(const std::string &name, unsigned host, bool isControl);
+
+    const unsigned m_subnet;
+    const support::TemporaryFolder m_folder;
+    Process m_control;
+    std::vector<Process> m_entries;
+    mutable std::atomic<unsigned> m_nextRequest{0};
+};
+
+} // namespace pimentoshed::processes
--- /dev/null
+++ b/tests/processes/targetsignals.cpp
@@ -0,0 +1,72 @@
+#include "processes/platformfleet.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace pimentoshed;
+using namespace pimentoshed::processes;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto Window = 4s;
+
+/** Most requests that arrived within Window, among those from @p from on. */
+std::size_t mostInWindow(const std::vector<ReceivedRequest> &requests, core::TimePoint from)
+{
+    std::size_t most = 0;
+    for (auto first = requests.begin(); first != requests.end(); ++first) {
+        const auto last = std::find_if(first, requests.end(), [first](const ReceivedRequest &request) {
+            return request.at > first->at + Window;
+        });
+        most = first->at < from ? most : std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+}
+
+std::size_t countWithStatus(const std::vector<core::Result<http::ClientAnswer>> &answers, unsigned status)
+{
+    return static_cast<std::size_t>(std::count_if(answers.begin(), answers.end(), [status](const auto &answer) {
+        return core::ok(answer) && core::value(answer).status == status;
+    }));
+}
+
+http::Reply withHeader(const std::string &name, const std::string &value)
+{
+    http::Reply reply;
+    reply.headers.emplace_back(name, value);
+    return reply;
+}
+
+} // namespace
+
+TEST_CASE("all entry hosts together keep the request limit that a target names")
+{
+    constexpr double Limit = 5;
+    PlatformFleet fleet(71, 3);
+    PlatformTarget limited("i-limited", fleet.targetAddress(0), 20ms, [](const ReceivedRequest &) {
+        return withHeader("Server-Limit", "5");
+    });
+    REQUIRE(limited.announce(fleet.controlAddress()) == 200);
+    REQUIRE(fleet.waitUntilServing());
+    const auto start = core::steadyNow();
+    const auto answers = fleet.load(40, 6s);
+    auto received = limited.requests();
+    const auto probes = limited.probes();
+    received.insert(received.end(), probes.begin(), probes.end());
+    std::sort(received.begin(), received.end(), [](const auto &left, const auto &right) {
+        return left.at < right.at;
+    });
+    const double inWindow = static_cast<double>(mostInWindow(received, start + 500ms));
+    CHECK(inWindow <= 1.5 * Limit * core::toSeconds(Window) + 5);
+    // The limit is no reason to leave the target unused.
+    CHECK(inWindow >= 0.5 * Limit * core::toSeconds(Window));
+    // The rest is refused, with a time to come back.
+    CHECK(countWithStatus(answers, 200) + countWithStatus(answers, 503) == answers.size());
+    for (const auto &answer : answers) {
+        if (core::ok(answer) && core::value(answer).status == 503) {
+            CHECK_FALSE(http::headerOf(core::value(answer), "Retry-After").empty());
+        }
+    }
+}
