Divide the request limit that a target names among the entry hosts

A target that had named a limit got 59 requests in 4 s where 54 are allowed, another 48 where 26 are. Cause: no host acted on the limit. Each host now sends at its part of the limit.

--- a/src/configuration/model.cpp
+++ b/src/configuration/model.cpp
@@ -5,6 +5,18 @@
 namespace pimentoshed::configuration
 {
 
+namespace
+{
+
+bool leadsTo(const Route &route, const core::ServiceName &service)
+{
+    return std::any_of(route.shares.begin(), route.shares.end(), [&service](const RouteShare &share) {
+        return share.service == service;
+    });
+}
+
+} // namespace
+
 const Route *findRoute(const Configuration &configuration, std::string_view hostName, std::string_view path)
 {
     const Route *best = nullptr;
@@ -37,16 +49,23 @@
     return found == configuration.services.end() ? nullptr : &*found;
 }
 
+std::set<std::string> hostNamesOf(const Configuration &configuration, const core::ServiceName &service)
+{
+    std::set<std::string> names;
+    for (const auto &route : configuration.routes) {
+        if (leadsTo(route, service)) {
+            names.insert(route.hostName);
+        }
+    }
+    return names;
+}
+
 core::Duration shortestLatencyObjective(const Configuration &configuration, const core::ServiceName &service)
 {
     core::Duration least{};
     for (const auto &route : configuration.routes) {
-        const bool reachesService =
-            std::any_of(route.shares.begin(), route.shares.end(), [&service](const RouteShare &share) {
-                return share.service == service;
-            });
         const bool shorter = least == core::Duration{} || route.latencyObjective < least;
-        if (reachesService && route.latencyObjective > core::Duration{} && shorter) {
+        if (leadsTo(route, service) && route.latencyObjective > core::Duration{} && shorter) {
             least = route.latencyObjective;
         }
     }
--- a/src/configuration/model.h
+++ b/src/configuration/model.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -173,6 +174,9 @@
 /** Returns the route that matches @p hostName and has the longest prefix of @p path, or nullptr. */
 const Route *findRoute(const Configuration &configuration, std::string_view hostName, std::string_view path);
 
+/** Returns the host names of the routes to @p service, each once; an empty one for routes that match any. */
+std::set<std::string> hostNamesOf(const Configuration &configuration, const core::ServiceName &service);
+
 /** Returns the shortest latency objective of the routes to @p service; zero if none has one. */
 core::Duration shortestLatencyObjective(const Configuration &configuration, const core::ServiceName &service);
 
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -5,6 +5,7 @@
 #include "core/workerpool.h"
 #include "entry/controlfeedclient.h"
 #include "routing/coldtargetlimiter.h"
+#include "routing/requestpacer.h"
 #include "telemetry/exposition.h"
 #include "telemetry/revisionagetracker.h"
 
@@ -14,6 +15,7 @@
 #include <condition_variable>
 #include <future>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace pimentoshed::entry
@@ -47,6 +49,7 @@
         : m_settings(settings)
         , m_incarnation(makeIncarnation())
         , m_coldTargetLimiter({settings.id, m_incarnation, settings.domain})
+        , m_requestPacer(settings.id)
         , m_router(settings.domain, routerHooks())
         , m_targets([this](const auto &target) {
             m_router.update(target);
@@ -72,7 +75,7 @@
                                                   applyConfiguration(active);
                                               },
                                               [this]() {
-                                                  divideColdTargets();
+                                                  divideTargets();
                                               },
                                               messageHook()},
               settings.controlAddresses))
@@ -202,18 +205,23 @@
         hooks.onColdAssigned = [this](const auto &target, const auto &service, core::TimePoint now) {
             m_coldTargetLimiter.recordSent(target, service, now);
         };
+        hooks.requestPace = [this](const targets::Target &target, double limit) {
+            return m_requestPacer.paceFor(target, limit);
+        };
         return hooks;
     }
 
-    /** Passes the entry hosts that are known now to the limiter, which divides the cold targets among them. */
-    void divideColdTargets()
+    /** Divides cold targets, and the requests to targets that limit them, among the entry hosts that are known now. */
+    void divideTargets()
     {
         const auto active = m_view.latest();
         if (!active) {
             return;
         }
+        const auto known = m_view.hosts();
+        divideLimitedTargets(known, active);
         std::vector<membership::Member> hosts;
-        for (const auto &host : m_view.hosts()) {
+        for (const auto &host : known) {
             if (!host.stopping) {
                 hosts.push_back({host.id, host.incarnation, host.domain});
             }
@@ -223,6 +231,27 @@
         m_coldTargetLimiter.setHosts(std::move(hosts), m_timers.now(), {m_view.currentUntil(), handover});
     }
 
+    void divideLimitedTargets(const std::vector<membership::EntryHost> &hosts,
+                              const std::shared_ptr<const changes::ActiveConfiguration> &active)
+    {
+        if (hosts == m_dividedHosts && active->revision == m_dividedRevision) {
+            return;
+        }
+        m_dividedHosts = hosts;
+        m_dividedRevision = active->revision;
+        m_requestPacer.setSenders([hosts, active, hostsForCallers = m_settings.hostsForCallers](
+                                      const core::ServiceName &service, const core::FailureDomain &domain) {
+            std::set<core::HostId> usual;
+            for (const auto &name : configuration::hostNamesOf(*active->configuration, service)) {
+                for (const auto *host : hostsForCallers(hosts, domain, name)) {
+                    usual.insert(host->id);
+                }
+            }
+            return membership::RequestSenders{{usual.begin(), usual.end()}, hosts.size()};
+        });
+        m_router.updateRequestPaces();
+    }
+
     /** Configures the queue and the router with a new active configuration before requests use it. */
     void applyConfiguration(const changes::ActiveConfiguration &active)
     {
@@ -328,6 +357,7 @@
     telemetry::RevisionAgeTracker m_revisionAge;
     ClusterView m_view;
     routing::ColdTargetLimiter m_coldTargetLimiter;
+    routing::RequestPacer m_requestPacer;
     routing::Router m_router;
     targets::TargetTable m_targets;
     core::WorkerPool m_pool;
@@ -339,6 +369,9 @@
     std::shared_ptr<http::Server> m_callerServer;
     std::vector<std::shared_ptr<http::Server>> m_platformServers;
     core::TimerSubscription m_periodicTimer;
+    /** The hosts and the revision for which divideLimitedTargets() was last called. Used only by the feed client. */
+    std::vector<membership::EntryHost> m_dividedHosts;
+    std::uint64_t m_dividedRevision = 0;
 };
 
 EntryHost::EntryHost(std::shared_ptr<Impl> impl)
--- a/src/entry/entryhost.h
+++ b/src/entry/entryhost.h
@@ -16,11 +16,16 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pimentoshed::entry
 {
 
+/** Returns the hosts among @p hosts to which callers in @p domain that send the host name @p hostName are led. */
+using HostsForCallersHook = std::function<std::vector<const membership::EntryHost *>(
+    const std::vector<membership::EntryHost> &hosts, const core::FailureDomain &domain, std::string_view hostName)>;
+
 /** Settings of an entry host. */
 struct EntrySettings {
     core::HostId id;
@@ -48,6 +53,7 @@
      * only the service's retry ratio limits them.
      */
     std::optional<double> maxUnspentRetries;
+    HostsForCallersHook hostsForCallers = membership::hostsOfDomain;
 };
 
 /** A running entry host. */
--- a/src/membership/hosts.cpp
+++ b/src/membership/hosts.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-std::vector<std::string> addressesForHostName(const std::vector<EntryHost> &hosts, const AddressOptions &options)
+std::vector<const EntryHost *> hostsForHostName(const std::vector<EntryHost> &hosts, const AddressOptions &options)
 {
     std::vector<const EntryHost *> local;
     std::vector<const EntryHost *> all;
@@ -53,7 +53,23 @@
     });
     const auto shareCount = static_cast<std::size_t>(std::ceil(static_cast<double>(chosen.size()) * options.hostShare));
     chosen.resize(std::min({chosen.size(), std::max(shareCount, options.minHosts), options.maxHosts}));
-    return addresses(chosen);
+    return chosen;
+}
+
+std::vector<const EntryHost *> hostsOfDomain(const std::vector<EntryHost> &hosts,
+                                             const core::FailureDomain &domain,
+                                             std::string_view hostName)
+{
+    AddressOptions options;
+    options.preferredDomain = domain;
+    options.hostName = hostName;
+    options.maxHosts = hosts.size();
+    return hostsForHostName(hosts, options);
+}
+
+std::vector<std::string> addressesForHostName(const std::vector<EntryHost> &hosts, const AddressOptions &options)
+{
+    return addresses(hostsForHostName(hosts, options));
 }
 
 std::vector<std::string> chooseAddresses(const std::vector<EntryHost> &hosts,
--- a/src/membership/hosts.h
+++ b/src/membership/hosts.h
@@ -54,11 +54,20 @@
 };
 
 /**
- * Returns the addresses of the entry hosts that serve a host name, by rendezvous hashing, without hosts that are
+ * Returns the entry hosts that serve a host name, by rendezvous hashing, without hosts that are
  * stopping. They are of the preferred domain; if it has fewer hosts than the minimum, they are of all domains, so that
  * callers survive the loss of a host. A host name is served by few hosts, because each of them then handles more of its
  * requests and has more recent load data of its targets.
  */
+std::vector<const EntryHost *> hostsForHostName(const std::vector<EntryHost> &hosts, const AddressOptions &options);
+
+/** Returns the entry hosts of @p domain that are not stopping, whatever the host name; all domains' if there are none.
+ */
+std::vector<const EntryHost *> hostsOfDomain(const std::vector<EntryHost> &hosts,
+                                             const core::FailureDomain &domain,
+                                             std::string_view hostName);
+
+/** Returns the addresses of hostsForHostName(). */
 std::vector<std::string> addressesForHostName(const std::vector<EntryHost> &hosts, const AddressOptions &options);
 
 /**
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -153,6 +153,14 @@
     }
 }
 
+void Router::updateRequestPaces()
+{
+    for (const auto &[name, guarded] : all()) {
+        const core::Lock lock(guarded->mutex);
+        guarded->router.updateRequestPaces();
+    }
+}
+
 core::Duration Router::usualProcessingTime(const core::ServiceName &service) const
 {
     const auto guarded = find(service);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -57,7 +57,7 @@
     /** Records a load probe that brought no report: it @p failed, or its response did not come in time. */
     void recordFailedProbe(const targets::Target &target, bool failed, core::TimePoint now);
 
-    /** Records the signals in a response of a target to a request sent at @p sent. */
+    /** Records the signals in a target's response to a load probe sent at @p sent. */
     void recordSignals(const targets::Target &target,
                        const TargetSignals &signals,
                        core::TimePoint sent,
@@ -66,6 +66,9 @@
     /** Ends an assignment. Ignored if it was released before. */
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
 
+    /** Applies the requestPace hook again after a change of the hosts that share the targets' limits. */
+    void updateRequestPaces();
+
     /** Usual time of a request of @p service once it has a target; zero if unknown. */
     core::Duration usualProcessingTime(const core::ServiceName &service) const;
 
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -168,6 +168,7 @@
         return;
     }
     auto &entry = m_entries[found->second];
+    entry.lastProbe = now;
     // Single late responses are ignored, as this host itself may be slow.
     if (failed || ++entry.lateProbes >= LateProbesUntilUnreachable) {
         backOff(entry, now);
@@ -192,7 +193,9 @@
 {
     const auto found = m_positions.find(id);
     if (found != m_positions.end()) {
-        setSignals(m_entries[found->second], signals, sent, now);
+        auto &entry = m_entries[found->second];
+        entry.lastProbe = now;
+        setSignals(entry, signals, sent, now);
     }
 }
 
@@ -238,6 +241,31 @@
     }
 }
 
+void ServiceRouter::updateRequestPaces()
+{
+    for (auto &entry : m_entries) {
+        if (entry.requestLimit) {
+            updateRequestPace(entry);
+        }
+    }
+}
+
+void ServiceRouter::updateRequestPace(Entry &entry) const
+{
+    entry.pace = m_hooks.requestPace ? m_hooks.requestPace(*entry.target, *entry.requestLimit)
+                                     : membership::requestPace(entry.target->id, *entry.requestLimit, {}, {});
+}
+
+bool ServiceRouter::isWithinRequestLimit(const Entry &entry, core::TimePoint now)
+{
+    return !entry.requestLimit || now + (entry.pace.burst - 1) * entry.pace.interval >= entry.nextTurn;
+}
+
+bool ServiceRouter::isProbeAllowed(const Entry &entry, core::TimePoint now)
+{
+    return !entry.requestLimit || now - entry.lastProbe >= entry.pace.interval;
+}
+
 TargetStatus ServiceRouter::status(const core::TargetId &id) const
 {
     const auto found = m_positions.find(id);
@@ -373,7 +401,7 @@
 
 unsigned ServiceRouter::limit(const Entry &entry, core::TimePoint now) const
 {
-    if (!entry.isServing) {
+    if (!entry.isServing || !isWithinRequestLimit(entry, now)) {
         return 0;
     }
     if (!isCold(entry, now)) {
@@ -416,6 +444,9 @@
     if (signals.limitStatement == LimitStatement::Named) {
         entry.requestLimit = signals.requestLimit;
         entry.limitNamedAt = now;
+        updateRequestPace(entry);
+        // A higher limit than before holds at once.
+        entry.nextTurn = previous ? std::min(entry.nextTurn, now + entry.pace.interval) : now;
     } else if (signals.limitStatement == LimitStatement::None && sent >= entry.limitNamedAt) {
         // Responses to earlier requests may come after the one that named the limit.
         entry.requestLimit.reset();
@@ -560,6 +591,7 @@
         return;
     }
     const bool localOnly = options.localOnly && hasReachableLocal(now);
+    const bool isProbed = !options.allowedTargets.empty();
     const auto first = m_entries.size() > MaxCandidates ? core::randomBelow(m_hooks.random, m_entries.size()) : 0;
     for (const bool wantsOutliers : {false, true}) {
         for (std::size_t step = 0; step < m_entries.size() && m_candidates.size() < MaxCandidates; ++step) {
@@ -571,7 +603,7 @@
                 entry.isServing && !entry.isEjected && entry.outlierState.isOutlier() == wantsOutliers;
             const unsigned maxInFlight = isUsable ? limit(entry, now) : 0;
             if (inFlight >= maxInFlight || now < entry.unreachableUntil || !isAllowed(options, entry.target->id)
-                || (localOnly && !entry.isLocal)) {
+                || (localOnly && !entry.isLocal) || (!isProbed && !isProbeAllowed(entry, now))) {
                 continue;
             }
             const auto found = makeCandidate(entry, maxInFlight, options, now);
@@ -601,6 +633,9 @@
     if (m_hooks.onColdAssigned && isCold(entry, now)) {
         m_hooks.onColdAssigned(*entry.target, m_service, now);
     }
+    if (entry.requestLimit) {
+        entry.nextTurn = std::max(entry.nextTurn, now) + entry.pace.interval;
+    }
     const auto attempt = m_nextAttempt++;
     entry.inFlightAttempts.push_back(
         {attempt, now, isProbation, estimatedLoad(entry, now) < slots(entry), slowness(entry, now)});
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -7,6 +7,7 @@
 #include "configuration/model.h"
 #include "core/error.h"
 #include "core/random.h"
+#include "membership/requestpace.h"
 #include "routing/attemptend.h"
 #include "routing/latency.h"
 #include "routing/outlierstate.h"
@@ -31,6 +32,9 @@
 /** Called for each request that is assigned to a cold target. */
 using ColdAssignedHook = std::function<void(const targets::Target &, const configuration::Service &, core::TimePoint)>;
 
+/** Returns the pace of this host's requests to a target that names a limit of requests per second. */
+using RequestPaceHook = std::function<membership::RequestPace(const targets::Target &, double limit)>;
+
 /** Behaviour that varies between routers. */
 struct RouterHooks {
     Picker picker;
@@ -40,6 +44,8 @@
     /** If empty, cold targets are limited only by the service's cold slots at this host. */
     CanSendToColdHook canSendToCold{};
     ColdAssignedHook onColdAssigned{};
+    /** If empty, this host alone uses the whole request limit of a target. */
+    RequestPaceHook requestPace{};
 };
 
 /** Restrictions on the target of one request. */
@@ -78,7 +84,8 @@
  * Counts this host's requests at each target exactly, and assigns requests only to serving targets below their limit,
  * in failure domains that are not out of service. At most half of the serving targets are ejected at once: further
  * outliers stay in use, but only when no other target has a free slot. After several failed probation requests in a
- * row, a target counts as cold for the service's warm-up time, or until a probation request succeeds. Not thread-safe.
+ * row, a target counts as cold for the service's warm-up time, or until a probation request succeeds. Requests to a
+ * target that names a limit keep the pace that is this host's part of the limit. Not thread-safe.
  */
 class ServiceRouter
 {
@@ -107,7 +114,7 @@
     /** Records a load probe that brought no report: it @p failed, or its response did not come in time. */
     void recordFailedProbe(const core::TargetId &id, bool failed, core::TimePoint now);
 
-    /** Records the signals in a response of a target to a request sent at @p sent. */
+    /** Records the signals in a target's response to a load probe sent at @p sent. */
     void recordSignals(const core::TargetId &id,
                        const TargetSignals &signals,
                        core::TimePoint sent,
@@ -116,6 +123,9 @@
     /** Ends an assignment. Ignored if it was released before. */
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
 
+    /** Applies the requestPace hook again after a change of the hosts that share the targets' limits. */
+    void updateRequestPaces();
+
     TargetStatus status(const core::TargetId &id) const;
     /** Usual time of a request at a target of usual speed with a free slot; zero if unknown. */
     core::Duration usualProcessingTime() const;
@@ -158,6 +168,11 @@
         std::optional<double> requestLimit;
         /** When the limit was last named. */
         core::TimePoint limitNamedAt{};
+        /** With a limit, the pace of this host's requests. */
+        membership::RequestPace pace;
+        /** With a limit, when the next request is due if the ones before it kept the pace. */
+        core::TimePoint nextTurn{};
+        core::TimePoint lastProbe{};
     };
 
     /** Sets isServing and isLocal. */
@@ -175,7 +190,12 @@
     static void backOff(Entry &entry, core::TimePoint now);
     void setSignals(Entry &entry, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now);
     void setLoadReport(Entry &entry, const LoadReport &report, core::TimePoint now);
-    static void setRequestLimit(Entry &entry, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now);
+    void setRequestLimit(Entry &entry, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now);
+    void updateRequestPace(Entry &entry) const;
+    /** Whether the target's limit allows a request of this host now. */
+    static bool isWithinRequestLimit(const Entry &entry, core::TimePoint now);
+    /** Whether the target may be probed: one that limits its requests only once for each request that it allows. */
+    static bool isProbeAllowed(const Entry &entry, core::TimePoint now);
     /** Estimate of the requests that the target has now, of all hosts. */
     double estimatedLoad(const Entry &entry, core::TimePoint now) const;
     double slowness(const Entry &entry, core::TimePoint now) const;
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -57,6 +57,7 @@
     , m_processingTime(processingTime)
     , m_script(std::move(script))
     , m_pool(2)
+    , m_timers(m_pool.context())
 {
     auto server = http::Server::Builder(m_pool.context())
                       .address(m_address)
@@ -72,11 +73,21 @@
 
 PlatformTarget::~PlatformTarget()
 {
+    m_renewal.cancel();
     m_server->drain();
     m_pool.stop();
 }
 
 unsigned PlatformTarget::announce(const std::string &control, const std::string &state)
+{
+    m_renewal.cancel();
+    m_renewal = m_timers.every(std::chrono::seconds(1), [this, control, state]() {
+        announceOnce(control, state);
+    });
+    return announceOnce(control, state);
+}
+
+unsigned PlatformTarget::announceOnce(const std::string &control, const std::string &state)
 {
     http::ClientRequest request;
     request.method = "PUT";
@@ -144,7 +155,7 @@
     const auto start = [this](const std::string &role, const std::string &name, unsigned host) {
         const auto settings = writeSettings(name, host, role == "control");
         return Process({"/usr/bin/env", "PIMENTOSHED_CONFIG=" + settings, PIMENTOSHED_BINARY, "platform", role},
-                       m_folder.path() / (name + ".log"));
+                       logFile(name));
     };
     m_control = start("control", "control", 1);
     for (unsigned i = 0; i < entryHosts; ++i) {
@@ -165,11 +176,27 @@
         return true;
     };
     if (!eventually(isConfigured, StartLimit) || !eventually(areReady, StartLimit)) {
-        throw std::runtime_error("the hosts were not ready within 10 s:\n"
-                                 + lastLines(m_folder.path() / "control.log", 10));
+        throw std::runtime_error("the hosts were not ready within 10 s:\n" + lastLines(logFile("control"), 10));
     }
 }
 
+PlatformFleet::~PlatformFleet()
+{
+    constexpr std::size_t Lines = 40;
+    if (!hasTestFailed() || !hasTestFailed()()) {
+        return;
+    }
+    fmt::print("control:\n{}", lastLines(logFile("control"), Lines));
+    for (unsigned i = 0; i < m_entries.size(); ++i) {
+        fmt::print("entry {}:\n{}", i, lastLines(logFile(fmt::format("entry-{}", i)), Lines));
+    }
+}
+
+std::string PlatformFleet::logFile(const std::string &name) const
+{
+    return m_folder.path() / (name + ".log");
+}
+
 std::string PlatformFleet::writeSettings(const std::string &name, unsigned host, bool isControl)
 {
     const auto ip = fmt::format("127.{}.0.{}", m_subnet, host);
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -41,7 +41,10 @@
     PlatformTarget(const PlatformTarget &) = delete;
     PlatformTarget &operator=(const PlatformTarget &) = delete;
 
-    /** Announces this target once to the control host at @p control. Returns the status of the response, or 0. */
+    /**
+     * Announces this target to the control host at @p control, and again every second until it is destroyed or its
+     * state changes. Returns the status of the response, or 0.
+     */
     unsigned announce(const std::string &control, const std::string &state = "ready");
 
     /** The requests received so far; without load probes. */
@@ -49,6 +52,7 @@
     std::vector<ReceivedRequest> probes() const;
 
 private:
+    unsigned announceOnce(const std::string &control, const std::string &state);
     void answer(http::Exchange &exchange);
     std::vector<ReceivedRequest> received(bool probes) const;
 
@@ -58,9 +62,11 @@
     const TargetScript m_script;
     mutable std::mutex m_mutex;
     std::vector<ReceivedRequest> m_received;
-    unsigned m_sequence = 0;
+    std::atomic<unsigned> m_sequence{0};
     core::WorkerPool m_pool;
+    core::TimerService m_timers;
     std::shared_ptr<http::Server> m_server;
+    core::TimerSubscription m_renewal;
 };
 
 /** One control host and several entry hosts in one failure domain, and a configuration with one route and service. */
@@ -69,6 +75,8 @@
 public:
     /** Addresses are 127.@p subnet.0.x. Waits until every entry host is ready. Throws std::runtime_error. */
     PlatformFleet(unsigned subnet, unsigned entryHosts);
+    /** If the test has failed, prints the last log lines of each host. */
+    ~PlatformFleet();
 
     std::string controlAddress() const;
     std::string callerAddress(unsigned entry) const;
@@ -89,6 +97,7 @@
     std::vector<core::Result<http::ClientAnswer>> load(double perSecond, core::Duration length) const;
 
 private:
+    std::string logFile(const std::string &name) const;
     std::string writeSettings(const std::string &name, unsigned host, bool isControl);
 
     const unsigned m_subnet;
--- a/tests/processes/targetsignals.cpp
+++ b/tests/processes/targetsignals.cpp
@@ -52,14 +52,10 @@
     REQUIRE(fleet.waitUntilServing());
     const auto start = core::steadyNow();
     const auto answers = fleet.load(40, 6s);
-    auto received = limited.requests();
-    const auto probes = limited.probes();
-    received.insert(received.end(), probes.begin(), probes.end());
-    std::sort(received.begin(), received.end(), [](const auto &left, const auto &right) {
-        return left.at < right.at;
-    });
-    const double inWindow = static_cast<double>(mostInWindow(received, start + 500ms));
-    CHECK(inWindow <= 1.5 * Limit * core::toSeconds(Window) + 5);
+    const double inWindow = static_cast<double>(mostInWindow(limited.requests(), start + 500ms));
+    const double allowed = 1.5 * Limit * core::toSeconds(Window) + 5;
+    CHECK(inWindow <= allowed);
+    CHECK(static_cast<double>(mostInWindow(limited.probes(), start + 500ms)) <= allowed);
     // The limit is no reason to leave the target unused.
     CHECK(inWindow >= 0.5 * Limit * core::toSeconds(Window));
     // The rest is refused, with a time to come back.
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -270,3 +270,41 @@
     router.update(restarted);
     CHECK(router.status(id).requestLimit == std::nullopt);
 }
+
+TEST_CASE("requests to a target that names a limit keep this host's pace, with one load probe for each")
+{
+    using routing::LimitStatement;
+    routing::RouterHooks hooks;
+    hooks.picker = routing::makePicker(routing::PickerKind::LeastExpectedTime);
+    hooks.random = core::seededRandom(7);
+    hooks.requestPace = [](const targets::Target &, double limit) {
+        const auto interval = std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(2 / limit));
+        return membership::RequestPace{interval, 2};
+    };
+    routing::ServiceRouter router(makeService(), core::FailureDomain("ravne"), hooks);
+    router.update(makeTarget("t0"));
+    const core::TargetId id("t0");
+    const std::vector<core::TargetId> probed{id};
+    router.recordSignals(id, {{}, LimitStatement::Named, 4}, Start + 1s, Start + 1s);
+    unsigned sent = 0;
+    unsigned probes = 0;
+    for (auto now = Start + 2s; now < Start + 4s; now += 1ms) {
+        if (!router.shortlist(now, {}, 1).empty()) {
+            ++probes;
+            router.recordSignals(id, {{}, LimitStatement::Named, 4}, now, now);
+        }
+        routing::AssignOptions options;
+        options.allowedTargets = probed;
+        const auto assignment = router.assign(now, options);
+        if (core::ok(assignment)) {
+            ++sent;
+            router.release(core::value(assignment), {AttemptOutcome::Answered, 1ms, {}}, now);
+        }
+    }
+    // One per 500 ms, and one more that has been saved up.
+    CHECK(sent == 5);
+    CHECK(probes == 4);
+    router.recordSignals(id, {}, Start + 4s, Start + 4s);
+    CHECK(core::ok(router.assign(Start + 4s)));
+    CHECK(core::ok(router.assign(Start + 4s)));
+}
