Take a refusal as proof that a request did not run only if it bears the request's id

Reported by another operator: a faulty endpoint wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that an endpoint ran. Here a repeated refusal with the id of its request was skipped, but one without an id, as the response to a load probe, refused the request that followed on the connection. The new test failed before: run state not-run, though the target's own response followed. A probe's connection is now kept only if the response was the probe's own. Tests of refusals gain the id; the same refusals without it are checked to prove nothing.

--- a/src/http/loadprobe.cpp
+++ b/src/http/loadprobe.cpp
@@ -115,7 +115,8 @@
         m_hasEnded = true;
         if (answered) {
             m_result.signals = m_round->protocolHooks.readSignals(m_answer.get());
-            if (m_answer.keep_alive() && m_connection->buffer.size() == 0) {
+            // A response to another request may have taken the place of the probe's own, which may still follow.
+            if (m_result.signals && m_answer.keep_alive() && m_connection->buffer.size() == 0) {
                 m_connection->reused = true;
                 m_result.connection = std::move(m_connection);
             }
--- a/tests/platform/httpprotocol.cpp
+++ b/tests/platform/httpprotocol.cpp
@@ -55,8 +55,12 @@
 
 TEST_CASE("X-Not-Executed and status 421 prove that the request was not run")
 {
-    CHECK(kindOf(answer(status::service_unavailable, {{"X-Not-Executed", "1"}})) == AnswerKind::NotRun);
-    CHECK(kindOf(answer(status::misdirected_request, {{"X-Instance-Id", "i-2"}})) == AnswerKind::NotRun);
+    CHECK(kindOf(answer(status::service_unavailable, {{"X-Request-Id", "r1"}, {"X-Not-Executed", "1"}}))
+          == AnswerKind::NotRun);
+    CHECK(kindOf(answer(status::misdirected_request, {{"X-Request-Id", "r1"}, {"X-Instance-Id", "i-2"}}))
+          == AnswerKind::NotRun);
+    CHECK(kindOf(answer(status::service_unavailable, {{"X-Not-Executed", "1"}})) == AnswerKind::Unverified);
+    CHECK(kindOf(answer(status::misdirected_request, {{"X-Instance-Id", "i-2"}})) == AnswerKind::Unverified);
     CHECK(kindOf(answer(status::service_unavailable, {{"X-Request-Id", "r0"}, {"X-Not-Executed", "1"}}))
           == AnswerKind::Stray);
 }
@@ -106,6 +110,7 @@
     CAPTURE(text);
     CHECK(read(text) == routing::TargetSignals{{}, LimitStatement::Unreadable, 0});
     const auto none = platform::platformProtocolHooks().readSignals(answer(status::ok, {}));
+    CHECK_FALSE(platform::platformProtocolHooks().readSignals(answer(status::ok, {{"X-Request-Id", "r1"}})));
     CHECK(none->limitStatement == LimitStatement::None);
 }
 
--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -86,8 +86,9 @@
 TEST_CASE("a response that proves that the request was not run leaves the connection usable")
 {
     const auto head = GENERATE(as<std::string>{},
-                               "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
-                               "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+                               "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\n"
+                               "Content-Length: 4\r\n\r\nfull",
+                               "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
     ScriptedTarget target(respondWith(head));
     RelayServer server(target.address(), platformRelayOptions(false));
     auto caller = server.caller();
@@ -140,3 +141,29 @@
     CHECK(result.callerLeft);
     CHECK(result.outcome.failure->code == ErrorCode::CallerTooSlow);
 }
+
+TEST_CASE("a refusal that a target repeats on a kept connection refuses no later request")
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+    const auto *const id = GENERATE("X-Request-Id: r1\r\n", "");
+    ScriptedTarget target([&](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.write(refusal + "X-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
+        socket.readUntil("\r\n\r\n");
+        // The target runs the second request, and its response follows the repeated refusal of the first one.
+        socket.write(refusal + id + "Content-Length: 0\r\n\r\n");
+        socket.write(signedAnswer("r2", "ours"));
+        socket.readAll();
+    });
+    RelayServer server(target.address(), platformRelayOptions(false));
+    auto caller = server.caller();
+    caller.write(Get);
+    caller.readUntil("\r\n\r\n");
+    CHECK(server.nextResult().outcome.run == RunState::NotRun);
+    auto second = server.caller();
+    second.write("GET /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: r2\r\n\r\n");
+    const auto head = second.readUntil("\r\n\r\n");
+    CHECK_FALSE(head.starts_with("HTTP/1.1 503"));
+    CHECK(server.nextResult().outcome.run != RunState::NotRun);
+    CHECK(target.accepted() == 1);
+}
