Send nothing more to a target whose response says that it leaves

The host that got the response withdraws the target at once, on its own, until the target has restarted. Responses of load probes and failures count too; those of an earlier incarnation don't, nor do they for load and limits, which probes had not checked.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -126,7 +126,7 @@
 {
     if (const auto guarded = find(target.service)) {
         const core::Lock lock(guarded->mutex);
-        guarded->router.recordSignals(target.id, signals, sent, now);
+        guarded->router.recordSignals(target, signals, sent, now);
     }
 }
 
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -113,6 +113,7 @@
     if (restarted) {
         clearOutlier(entry);
         entry.requestLimit.reset();
+        entry.isLeaving = false;
     }
     updateFlags(entry);
     if (target.condition == targets::Condition::Gone && entry.inFlightAttempts.empty()) {
@@ -186,15 +187,19 @@
     entry.unreachableUntil = now + entry.unreachableBackoff;
 }
 
-void ServiceRouter::recordSignals(const core::TargetId &id,
+void ServiceRouter::recordSignals(const targets::Target &target,
                                   const TargetSignals &signals,
                                   core::TimePoint sent,
                                   core::TimePoint now)
 {
-    const auto found = m_positions.find(id);
-    if (found != m_positions.end()) {
-        auto &entry = m_entries[found->second];
-        entry.lastProbe = now;
+    const auto found = m_positions.find(target.id);
+    if (found == m_positions.end()) {
+        return;
+    }
+    auto &entry = m_entries[found->second];
+    entry.lastProbe = now;
+    // What an earlier incarnation said does not bind the present one.
+    if (target.version.incarnation == entry.target->version.incarnation) {
         setSignals(entry, signals, sent, now);
     }
 }
@@ -304,7 +309,7 @@
     const auto &target = *entry.target;
     const bool isOutOfService = std::find(m_domainsOutOfService.begin(), m_domainsOutOfService.end(), target.domain)
                                 != m_domainsOutOfService.end();
-    entry.isServing = targets::takesRequests(target.condition) && !isOutOfService;
+    entry.isServing = targets::takesRequests(target.condition) && !isOutOfService && !entry.isLeaving;
     entry.isLocal = target.domain == m_ownDomain;
 }
 
@@ -433,6 +438,11 @@
         setLoadReport(entry, *signals.load, now);
     }
     setRequestLimit(entry, signals, sent, now);
+    if (signals.isLeaving && !std::exchange(entry.isLeaving, true)) {
+        core::log(core::LogLevel::Info, "target-leaving", {{"target", entry.target->id.str()}});
+        updateFlags(entry);
+        updateCounts();
+    }
 }
 
 void ServiceRouter::setRequestLimit(Entry &entry,
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -115,7 +115,7 @@
     void recordFailedProbe(const core::TargetId &id, bool failed, core::TimePoint now);
 
     /** Records the signals in a target's response to a load probe sent at @p sent. */
-    void recordSignals(const core::TargetId &id,
+    void recordSignals(const targets::Target &target,
                        const TargetSignals &signals,
                        core::TimePoint sent,
                        core::TimePoint now);
@@ -164,6 +164,8 @@
         core::Duration unreachableBackoff{};
         /** Load probes in a row that were not answered in time. */
         unsigned lateProbes = 0;
+        /** Whether the target said that it leaves. It does not come back in this incarnation, whatever it announces. */
+        bool isLeaving = false;
         /** Requests per second that the target takes from all hosts together, if it names a limit. */
         std::optional<double> requestLimit;
         /** When the limit was last named. */
--- a/src/routing/targetsignals.h
+++ b/src/routing/targetsignals.h
@@ -35,6 +35,8 @@
     LimitStatement limitStatement = LimitStatement::None;
     /** With LimitStatement::Named: requests per second that the target takes from all hosts together, from 0. */
     double requestLimit = 0;
+    /** Whether the target leaves. */
+    bool isLeaving = false;
 
     bool operator==(const TargetSignals &) const = default;
 };
--- a/tests/processes/targetsignals.cpp
+++ b/tests/processes/targetsignals.cpp
@@ -39,8 +39,41 @@
     return reply;
 }
 
+/** Number of requests that arrived at least @p earliest and less than @p latest after @p start. */
+std::size_t countBetween(const std::vector<ReceivedRequest> &requests,
+                         core::TimePoint start,
+                         core::Duration earliest,
+                         core::Duration latest)
+{
+    return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), [&](const auto &request) {
+        return request.at >= start + earliest && request.at < start + latest;
+    }));
+}
+
 } // namespace
 
+TEST_CASE("a target whose responses say that it leaves gets no more requests, although it announces that it is ready")
+{
+    PlatformFleet fleet(74, 2);
+    std::atomic<bool> isLeaving{false};
+    PlatformTarget leaving("i-leaving", fleet.targetAddress(0), 5ms, [&isLeaving](const ReceivedRequest &) {
+        return isLeaving ? withHeader("Server-Leaving", "1") : http::Reply{};
+    });
+    PlatformTarget staying("i-staying", fleet.targetAddress(1), 5ms, [](const ReceivedRequest &) {
+        return http::Reply{};
+    });
+    REQUIRE(leaving.announce(fleet.controlAddress()) == 200);
+    REQUIRE(staying.announce(fleet.controlAddress()) == 200);
+    REQUIRE(fleet.waitUntilServing());
+    fleet.load(30, 1s);
+    REQUIRE_FALSE(leaving.requests().empty());
+    isLeaving = true;
+    const auto start = core::steadyNow();
+    const auto answers = fleet.load(30, 5s);
+    CHECK(countBetween(leaving.requests(), start, 2s, 10s) == 0);
+    CHECK(countWithStatus(answers, 200) == answers.size());
+}
+
 TEST_CASE("all entry hosts together keep the request limit that a target names")
 {
     constexpr double Limit = 5;
--- a/tests/routing/nearintime.cpp
+++ b/tests/routing/nearintime.cpp
@@ -56,9 +56,9 @@
 TEST_CASE("a request stays in its failure domain while a local target can complete it in time")
 {
     auto router = makeFleet();
-    router.recordSignals(core::TargetId("t0"), {makeReport(0, 5)}, Start, Start);
-    router.recordSignals(core::TargetId("t1"), {makeReport(2)}, Start, Start);
-    router.recordSignals(core::TargetId("far"), {makeReport(0)}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {makeReport(0, 5)}, Start, Start);
+    router.recordSignals(makeTarget("t1"), {makeReport(2)}, Start, Start);
+    router.recordSignals(makeTarget("far"), {makeReport(0)}, Start, Start);
     for (int i = 0; i < 20; ++i) {
         CHECK(chooseTarget(router, 250ms) == core::TargetId("t1"));
     }
@@ -67,18 +67,18 @@
 TEST_CASE("a request crosses to another failure domain if no local target can complete it in time")
 {
     auto router = makeFleet();
-    router.recordSignals(core::TargetId("t0"), {makeReport(0, 5)}, Start, Start);
-    router.recordSignals(core::TargetId("t1"), {makeReport(Slots)}, Start, Start);
-    router.recordSignals(core::TargetId("far"), {makeReport(0)}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {makeReport(0, 5)}, Start, Start);
+    router.recordSignals(makeTarget("t1"), {makeReport(Slots)}, Start, Start);
+    router.recordSignals(makeTarget("far"), {makeReport(0)}, Start, Start);
     CHECK(chooseTarget(router, 250ms) == core::TargetId("far"));
 }
 
 TEST_CASE("a request gets no target while all are full or too slow for its objective")
 {
     auto router = makeFleet();
-    router.recordSignals(core::TargetId("t0"), {makeReport(Slots)}, Start, Start);
-    router.recordSignals(core::TargetId("t1"), {makeReport(0, 5)}, Start, Start);
-    router.recordSignals(core::TargetId("far"), {makeReport(Slots + 2)}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {makeReport(Slots)}, Start, Start);
+    router.recordSignals(makeTarget("t1"), {makeReport(0, 5)}, Start, Start);
+    router.recordSignals(makeTarget("far"), {makeReport(Slots + 2)}, Start, Start);
     CHECK(core::error(router.assign(Start, optionsWithObjective(250ms))).code == core::ErrorCode::NoTarget);
     // With an objective that it can meet, the slow target is chosen.
     CHECK(chooseTarget(router, 5s) == core::TargetId("t1"));
@@ -90,7 +90,7 @@
     router.release(core::value(router.assign(Start)),
                    {AttemptOutcome::Answered, 100ms, routing::TargetSignals{makeReport(0)}},
                    Start);
-    router.recordSignals(core::TargetId("t0"), {makeReport(1)}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {makeReport(1)}, Start, Start);
     CHECK(core::ok(router.assign(Start, optionsWithObjective(1s))));
     CHECK(core::ok(router.assign(Start, optionsWithObjective(1s))));
     CHECK_FALSE(core::ok(router.assign(Start, optionsWithObjective(1s))));
@@ -105,7 +105,7 @@
     CHECK(router.shortlist(Start + 100ms, {}, 3).size() == 1);
     router.recordFailedProbe(id, true, Start + 100ms);
     CHECK(router.shortlist(Start + 299ms, {}, 3).empty());
-    router.recordSignals(id, {makeReport(0)}, Start + 250ms, Start + 250ms);
+    router.recordSignals(makeTarget(id.str()), {makeReport(0)}, Start + 250ms, Start + 250ms);
     CHECK(router.shortlist(Start + 250ms, {}, 3).size() == 1);
 }
 
@@ -137,7 +137,7 @@
     auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
     auto cold = makeReport(0);
     cold.remainingColdTime = 2s;
-    router.recordSignals(core::TargetId("t0"), {cold}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {cold}, Start, Start);
     CHECK(router.status(core::TargetId("t0")).isAssumedCold);
     // The service's cold slots are then its limit.
     CHECK(core::ok(router.assign(Start)));
@@ -148,9 +148,9 @@
 {
     auto router = makeRouter(1, routing::PickerKind::NearInTime, Slots);
     router.assumeObjective(250ms);
-    router.recordSignals(core::TargetId("t0"), {makeReport(0, 5)}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {makeReport(0, 5)}, Start, Start);
     CHECK(core::error(router.assign(Start, optionsWithObjective(250ms))).code == core::ErrorCode::NoTarget);
-    router.recordSignals(core::TargetId("t0"), {makeReport(0)}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {makeReport(0)}, Start, Start);
     CHECK(core::ok(router.assign(Start, optionsWithObjective(250ms))));
 }
 
@@ -160,7 +160,7 @@
     const std::vector allowed{core::TargetId("t0")};
     auto options = optionsWithObjective(250ms);
     options.allowedTargets = allowed;
-    router.recordSignals(core::TargetId("t0"), {makeReport(0, 5)}, Start, Start);
+    router.recordSignals(makeTarget("t0"), {makeReport(0, 5)}, Start, Start);
     CHECK_FALSE(core::ok(router.assign(Start + 40ms, options)));
     // Without that restriction the target can be probed again, so a report of this age does not exclude it.
     CHECK(router.shortlist(Start + 40ms, optionsWithObjective(250ms), 3).size() == 3);
@@ -177,7 +177,7 @@
                                              std::pair(makeReport(1), true),
                                              std::pair(makeReport(2), false),
                                              std::pair(makeReport(0, 1.5), false)}) {
-        router.recordSignals(id, {loadReport}, Start, Start);
+        router.recordSignals(makeTarget(id.str()), {loadReport}, Start, Start);
         CHECK(router.shortlist(Start, options, 1).empty() != isIdle);
     }
 }
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -253,7 +253,7 @@
     auto router = makeRouter(1);
     const core::TargetId id("t0");
     const auto record = [&](LimitStatement statement, double limit, core::Duration sent, core::Duration received) {
-        router.recordSignals(id, {{}, statement, limit}, Start + sent, Start + received);
+        router.recordSignals(makeTarget("t0"), {{}, statement, limit}, Start + sent, Start + received);
         return router.status(id).requestLimit;
     };
     CHECK(record(LimitStatement::None, 0, 0ms, 1ms) == std::nullopt);
@@ -285,13 +285,13 @@
     router.update(makeTarget("t0"));
     const core::TargetId id("t0");
     const std::vector<core::TargetId> probed{id};
-    router.recordSignals(id, {{}, LimitStatement::Named, 4}, Start + 1s, Start + 1s);
+    router.recordSignals(makeTarget("t0"), {{}, LimitStatement::Named, 4}, Start + 1s, Start + 1s);
     unsigned sent = 0;
     unsigned probes = 0;
     for (auto now = Start + 2s; now < Start + 4s; now += 1ms) {
         if (!router.shortlist(now, {}, 1).empty()) {
             ++probes;
-            router.recordSignals(id, {{}, LimitStatement::Named, 4}, now, now);
+            router.recordSignals(makeTarget("t0"), {{}, LimitStatement::Named, 4}, now, now);
         }
         routing::AssignOptions options;
         options.allowedTargets = probed;
@@ -304,7 +304,32 @@
     // One per 500 ms, and one more that has been saved up.
     CHECK(sent == 5);
     CHECK(probes == 4);
-    router.recordSignals(id, {}, Start + 4s, Start + 4s);
+    router.recordSignals(makeTarget("t0"), {}, Start + 4s, Start + 4s);
     CHECK(core::ok(router.assign(Start + 4s)));
     CHECK(core::ok(router.assign(Start + 4s)));
 }
+
+TEST_CASE("a target that says in a response that it leaves gets no more requests until it has restarted")
+{
+    auto router = makeRouter(1);
+    routing::TargetSignals leaving;
+    leaving.isLeaving = true;
+    auto restarted = makeTarget("t0");
+    restarted.version.incarnation = 2;
+    const bool isProbe = GENERATE(true, false);
+    const auto assignment = router.assign(Start);
+    REQUIRE(core::ok(assignment));
+    if (isProbe) {
+        router.recordSignals(makeTarget("t0"), leaving, Start, Start);
+    }
+    router.release(
+        core::value(assignment), {AttemptOutcome::Answered, 1ms, isProbe ? routing::TargetSignals{} : leaving}, Start);
+    CHECK_FALSE(core::ok(router.assign(Start)));
+    router.update(makeTarget("t0", "ravne", Condition::Warm, 1));
+    CHECK_FALSE(core::ok(router.assign(Start)));
+    router.update(restarted);
+    CHECK(core::ok(router.assign(Start)));
+    // A late response of the earlier incarnation.
+    router.recordSignals(makeTarget("t0"), leaving, Start, Start);
+    CHECK(core::ok(router.assign(Start)));
+}
