--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -255,8 +255,7 @@
                     request.outcome = {RunState::NotRun, core::error(assignment)};
                 }
                 logRefusal(request);
-                refuse(
-                    request.exchange, request.outcome, m_dependencies.router.usualProcessingTime(request.service.name));
+                refuse(request.exchange, request.outcome, &request.service.name);
                 return;
             }
             const auto result = attempt(request, core::value(assignment), std::move(connection));
@@ -335,6 +334,10 @@
             }
         }
         const auto processingTime = m_dependencies.router.usualProcessingTime(service);
+        const auto pausedUntil = m_dependencies.router.pausedUntil(service, m_dependencies.timers.now());
+        if (pausedUntil && *pausedUntil + processingTime > queueDeadline(request, processingTime)) {
+            return core::Error{ErrorCode::NoTarget, "no target takes requests before the deadline"};
+        }
         if (isLate(request, processingTime, m_dependencies.timers.now())) {
             return core::Error{ErrorCode::NoTarget,
                                "no target has capacity, and the request can no longer meet its objective"};
@@ -580,28 +583,45 @@
             request.exchange.closeAfterwards();
             return;
         }
-        refuse(request.exchange, request.outcome, m_dependencies.router.usualProcessingTime(request.service.name));
+        refuse(request.exchange, request.outcome, &request.service.name);
     }
 
     /**
-     * Sends a refusal; @p processingTime is the usual processing time of the service. Ran is sent as Unknown: it means
-     * that a target sent a complete response, which this caller did not get, and a refusal can't say so.
+     * Sends a refusal of a request to @p service, if it is known. Ran is sent as Unknown: it means that a target sent a
+     * complete response, which this caller did not get, and a refusal can't say so.
      */
-    void refuse(http::Exchange &exchange, requests::RequestOutcome outcome, core::Duration processingTime = {}) const
+    void refuse(http::Exchange &exchange,
+                requests::RequestOutcome outcome,
+                const core::ServiceName *service = nullptr) const
     {
         if (outcome.run == RunState::Ran) {
             outcome.run = RunState::Unknown;
         }
         std::optional<core::Duration> retryAfter;
         if (outcome.run == RunState::NotRun) {
-            const bool notCurrent = outcome.failure->code == ErrorCode::NotCurrent;
-            const auto base =
-                std::max(notCurrent ? NotCurrentRetryAfter : MinRetryAfter, RetryAfterResponseTimes * processingTime);
-            retryAfter = base + base * core::randomBelow(m_dependencies.random, 100) / 100;
+            const auto base = outcome.failure->code == ErrorCode::NotCurrent ? NotCurrentRetryAfter
+                              : service != nullptr                           ? expectedWait(*service)
+                                                                             : MinRetryAfter;
+            const auto pause = service != nullptr ? remainingPause(*service) : core::Duration{};
+            retryAfter = pause + base + base * core::randomBelow(m_dependencies.random, 100) / 100;
         }
         exchange.send(m_dependencies.protocolHooks.makeRefusal({std::move(outcome), retryAfter}));
     }
 
+    /** How long a caller that was refused for lack of capacity should wait. */
+    core::Duration expectedWait(const core::ServiceName &service) const
+    {
+        const auto processingTime = m_dependencies.router.usualProcessingTime(service);
+        return std::max(MinRetryAfter, RetryAfterResponseTimes * processingTime);
+    }
+
+    /** How long all targets of @p service want no requests. */
+    core::Duration remainingPause(const core::ServiceName &service) const
+    {
+        const auto now = m_dependencies.timers.now();
+        return m_dependencies.router.pausedUntil(service, now).value_or(now) - now;
+    }
+
     const CallerHandlerDependencies m_dependencies;
 };
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -153,6 +153,16 @@
     }
 }
 
+std::optional<core::TimePoint> Router::pausedUntil(const core::ServiceName &service, core::TimePoint now) const
+{
+    const auto guarded = find(service);
+    if (!guarded) {
+        return std::nullopt;
+    }
+    const core::Lock lock(guarded->mutex);
+    return guarded->router.pausedUntil(now);
+}
+
 void Router::updateRequestPaces()
 {
     for (const auto &[name, guarded] : all()) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -66,6 +66,12 @@
     /** Ends an assignment. Ignored if it was released before. */
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
 
+    /**
+     * Returns when the first of the service's targets may get a request again if each has asked for a pause or its
+     * limit allows none now.
+     */
+    std::optional<core::TimePoint> pausedUntil(const core::ServiceName &service, core::TimePoint now) const;
+
     /** Applies the requestPace hook again after a change of the hosts that share the targets' limits. */
     void updateRequestPaces();
 
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -114,6 +114,7 @@
         clearOutlier(entry);
         entry.requestLimit.reset();
         entry.isLeaving = false;
+        entry.pausedUntil = {};
     }
     updateFlags(entry);
     if (target.condition == targets::Condition::Gone && entry.inFlightAttempts.empty()) {
@@ -261,9 +262,22 @@
                                      : membership::requestPace(entry.target->id, *entry.requestLimit, {}, {});
 }
 
-bool ServiceRouter::isWithinRequestLimit(const Entry &entry, core::TimePoint now)
+core::TimePoint ServiceRouter::nextAllowed(const Entry &entry)
 {
-    return !entry.requestLimit || now + (entry.pace.burst - 1) * entry.pace.interval >= entry.nextTurn;
+    const auto turn =
+        entry.requestLimit ? entry.nextTurn - (entry.pace.burst - 1) * entry.pace.interval : core::TimePoint{};
+    return std::max(entry.pausedUntil, turn);
+}
+
+std::optional<core::TimePoint> ServiceRouter::pausedUntil(core::TimePoint now) const
+{
+    std::optional<core::TimePoint> earliest;
+    for (const auto &entry : m_entries) {
+        if (entry.isServing && (!earliest || nextAllowed(entry) < *earliest)) {
+            earliest = nextAllowed(entry);
+        }
+    }
+    return earliest && *earliest > now ? earliest : std::nullopt;
 }
 
 bool ServiceRouter::isProbeAllowed(const Entry &entry, core::TimePoint now)
@@ -406,7 +420,7 @@
 
 unsigned ServiceRouter::limit(const Entry &entry, core::TimePoint now) const
 {
-    if (!entry.isServing || !isWithinRequestLimit(entry, now)) {
+    if (!entry.isServing || now < nextAllowed(entry)) {
         return 0;
     }
     if (!isCold(entry, now)) {
@@ -438,6 +452,12 @@
         setLoadReport(entry, *signals.load, now);
     }
     setRequestLimit(entry, signals, sent, now);
+    if (signals.pause && now + *signals.pause > entry.pausedUntil) {
+        entry.pausedUntil = now + *signals.pause;
+        core::log(core::LogLevel::Info,
+                  "target-paused",
+                  {{"target", entry.target->id.str()}, {"seconds", core::toSeconds(*signals.pause)}});
+    }
     if (signals.isLeaving && !std::exchange(entry.isLeaving, true)) {
         core::log(core::LogLevel::Info, "target-leaving", {{"target", entry.target->id.str()}});
         updateFlags(entry);
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -123,6 +123,12 @@
     /** Ends an assignment. Ignored if it was released before. */
     void release(const Assignment &assignment, const AttemptEnd &end, core::TimePoint now);
 
+    /**
+     * Returns when the first of the serving targets may get a request again if each has asked for a pause or its limit
+     * allows none now; nothing if one of them may get a request, or none is serving.
+     */
+    std::optional<core::TimePoint> pausedUntil(core::TimePoint now) const;
+
     /** Applies the requestPace hook again after a change of the hosts that share the targets' limits. */
     void updateRequestPaces();
 
@@ -166,6 +172,8 @@
         unsigned lateProbes = 0;
         /** Whether the target said that it leaves. It does not come back in this incarnation, whatever it announces. */
         bool isLeaving = false;
+        /** Until when the target wants nothing from this host, by its refusals. */
+        core::TimePoint pausedUntil{};
         /** Requests per second that the target takes from all hosts together, if it names a limit. */
         std::optional<double> requestLimit;
         /** When the limit was last named. */
@@ -194,8 +202,8 @@
     void setLoadReport(Entry &entry, const LoadReport &report, core::TimePoint now);
     void setRequestLimit(Entry &entry, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now);
     void updateRequestPace(Entry &entry) const;
-    /** Whether the target's limit allows a request of this host now. */
-    static bool isWithinRequestLimit(const Entry &entry, core::TimePoint now);
+    /** When the target's pause has ended and its limit allows a request of this host. */
+    static core::TimePoint nextAllowed(const Entry &entry);
     /** Whether the target may be probed: one that limits its requests only once for each request that it allows. */
     static bool isProbeAllowed(const Entry &entry, core::TimePoint now);
     /** Estimate of the requests that the target has now, of all hosts. */
--- a/src/routing/targetsignals.h
+++ b/src/routing/targetsignals.h
@@ -37,6 +37,8 @@
     double requestLimit = 0;
     /** Whether the target leaves. */
     bool isLeaving = false;
+    /** In a refusal: how long this host must send nothing. */
+    std::optional<core::Duration> pause{};
 
     bool operator==(const TargetSignals &) const = default;
 };
--- a/tests/platform/httpprotocol.cpp
+++ b/tests/platform/httpprotocol.cpp
@@ -114,6 +114,20 @@
     CHECK(none->limitStatement == LimitStatement::None);
 }
 
+TEST_CASE("a pause is a positive decimal number of seconds in a refusal with status 503")
+{
+    const auto read = [](status code, const std::string &seconds) {
+        return platform::platformProtocolHooks().readSignals(answer(code, {{"Retry-After", seconds}}))->pause;
+    };
+    CHECK(read(status::service_unavailable, "2.5") == std::chrono::milliseconds(2500));
+    CHECK(read(status::service_unavailable, "1e300") == std::chrono::hours(24));
+    CHECK_FALSE(read(status::too_many_requests, "2.5"));
+    CHECK_FALSE(read(status::ok, "2.5"));
+    const auto *const text = GENERATE("0", "-1", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT");
+    CAPTURE(text);
+    CHECK_FALSE(read(status::service_unavailable, text));
+}
+
 TEST_CASE("signals are read only from responses of the target of the request")
 {
     const auto hooks = platform::platformProtocolHooks();
--- a/tests/processes/targetsignals.cpp
+++ b/tests/processes/targetsignals.cpp
@@ -50,6 +50,14 @@
     }));
 }
 
+http::Reply notExecuted(const std::string &retryAfter)
+{
+    http::Reply reply;
+    reply.status = boost::beast::http::status::service_unavailable;
+    reply.headers = {{"X-Not-Executed", "1"}, {"Retry-After", retryAfter}};
+    return reply;
+}
+
 } // namespace
 
 TEST_CASE("a target whose responses say that it leaves gets no more requests, although it announces that it is ready")
@@ -74,6 +82,54 @@
     CHECK(countWithStatus(answers, 200) == answers.size());
 }
 
+TEST_CASE("targets that name a time in their refusals get nothing until then")
+{
+    PlatformFleet fleet(75, 1);
+    std::atomic<bool> isRefusing{false};
+    const auto script = [&isRefusing](const ReceivedRequest &request) {
+        return isRefusing && !request.isProbe() ? notExecuted("2.5") : http::Reply{};
+    };
+    PlatformTarget first("i-first", fleet.targetAddress(0), 5ms, script);
+    PlatformTarget second("i-second", fleet.targetAddress(1), 5ms, script);
+    REQUIRE(first.announce(fleet.controlAddress()) == 200);
+    REQUIRE(second.announce(fleet.controlAddress()) == 200);
+    REQUIRE(fleet.waitUntilServing());
+    fleet.load(30, 1s);
+    isRefusing = true;
+    const auto refusedAt = core::steadyNow();
+    const auto answers = fleet.load(30, 2s);
+    isRefusing = false;
+    const auto later = fleet.load(30, 2s);
+    for (const auto *target : {&first, &second}) {
+        CHECK(countBetween(target->requests(), refusedAt, 600ms, 2400ms) == 0);
+        CHECK(countBetween(target->probes(), refusedAt, 600ms, 2400ms) == 0);
+        CHECK(countBetween(target->requests(), refusedAt, 2500ms, 10s) > 0);
+    }
+    CHECK(countWithStatus(answers, 503) == answers.size());
+    CHECK(countWithStatus(later, 200) > later.size() / 2);
+}
+
+TEST_CASE("a request that no target takes before its deadline is refused at once, with the time to come back")
+{
+    PlatformFleet fleet(76, 1);
+    std::atomic<bool> isRefusing{false};
+    PlatformTarget target("i-only", fleet.targetAddress(0), 5ms, [&isRefusing](const ReceivedRequest &request) {
+        return isRefusing && !request.isProbe() ? notExecuted("10") : http::Reply{};
+    });
+    REQUIRE(target.announce(fleet.controlAddress()) == 200);
+    REQUIRE(fleet.waitUntilServing());
+    isRefusing = true;
+    fleet.request(0);
+    for (unsigned i = 0; i < 5; ++i) {
+        const auto start = core::steadyNow();
+        const auto answer = fleet.request(0);
+        CHECK(core::steadyNow() - start < 100ms);
+        REQUIRE(core::ok(answer));
+        CHECK(core::value(answer).status == 503);
+        CHECK(std::stod("0" + http::headerOf(core::value(answer), "Retry-After")) > 9);
+    }
+}
+
 TEST_CASE("all entry hosts together keep the request limit that a target names")
 {
     constexpr double Limit = 5;
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -333,3 +333,29 @@
     router.recordSignals(makeTarget("t0"), leaving, Start, Start);
     CHECK(core::ok(router.assign(Start)));
 }
+
+TEST_CASE("a target that asks for a pause gets nothing until then, unless it restarts")
+{
+    auto router = makeRouter(2);
+    CHECK_FALSE(router.pausedUntil(Start));
+    const auto pause = [&router](const std::string &id, core::Duration length, core::TimePoint now) {
+        routing::TargetSignals signals;
+        signals.pause = length;
+        router.recordSignals(makeTarget(id), signals, now, now);
+    };
+    pause("t0", 1s, Start);
+    CHECK_FALSE(router.pausedUntil(Start));
+    pause("t1", 2s, Start);
+    // A shorter pause does not replace the longer one.
+    pause("t1", 100ms, Start + 10ms);
+    CHECK(router.pausedUntil(Start + 10ms) == Start + 1s);
+    CHECK_FALSE(core::ok(router.assign(Start + 999ms)));
+    CHECK(router.shortlist(Start + 999ms, {}, 2).empty());
+    CHECK(router.shortlist(Start + 1s, {}, 2).size() == 1);
+    CHECK(router.shortlist(Start + 2s, {}, 2).size() == 2);
+    pause("t0", 10s, Start + 2s);
+    auto restarted = makeTarget("t0");
+    restarted.version.incarnation = 2;
+    router.update(restarted);
+    CHECK(router.shortlist(Start + 2s, {}, 2).size() == 2);
+}
