Answer pending submissions and confirmations before a control host's RPC server stops

Cause: the gRPC server waits for every call to be answered, and a submission or confirmation that another host had sent and that could not complete was ended by the host's timer only, which a stop cancels first. Evidence: a process test that fills the leader's disk, sends it a change through another host and stops it; the host had not ended after 5 s, in each of two runs; now it ends with 0. close() answers what is pending and refuses the rest.

While this test failed for the first time, the test harness sent SIGKILL to process -1, that is to every process of the machine's session, because Process::wait() forgets the id before the process has ended. signal() now does nothing then.

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -134,6 +134,10 @@
         m_tickTimer.cancel();
         stopFollowers();
         m_followHandler.close();
+        if (m_replicator) {
+            // The RPC server stops only once every call has been answered.
+            m_replicator->close();
+        }
         if (m_rpcServer) {
             m_rpcServer->stop();
         }
--- a/src/control/replicator.cpp
+++ b/src/control/replicator.cpp
@@ -22,6 +22,7 @@
 constexpr const char *InitialDiskId = "initial";
 
 const core::Error ReplacedInLog{core::ErrorCode::NoQuorum, "a new leader replaced the change in the log"};
+const core::Error Closing{core::ErrorCode::NoQuorum, "this host stops"};
 const core::Error OutcomeUnknown{core::ErrorCode::ChangeNotCommitted,
                                  "the change may still be applied; send it again with the same id"};
 
@@ -125,7 +126,7 @@
 {
     core::Lock lock(m_mutex);
     const auto now = m_hooks.now();
-    const auto proposed = m_replica.propose(std::move(payload), now);
+    const auto proposed = m_isClosed ? Closing : m_replica.propose(std::move(payload), now);
     if (!core::ok(proposed)) {
         lock.unlock();
         hook(core::error(proposed));
@@ -142,7 +143,7 @@
 {
     core::Lock lock(m_mutex);
     m_lastReadToken = m_lastReadToken.next();
-    const auto requested = m_replica.requestReadIndex(m_lastReadToken, m_hooks.now());
+    const auto requested = m_isClosed ? Closing : m_replica.requestReadIndex(m_lastReadToken, m_hooks.now());
     if (!core::ok(requested)) {
         lock.unlock();
         hook(core::error(requested));
@@ -182,6 +183,21 @@
     return m_journalBytes;
 }
 
+void Replicator::close()
+{
+    core::Lock lock(m_mutex);
+    m_isClosed = true;
+    const auto submissions = std::exchange(m_submissions, {});
+    const auto confirmations = std::exchange(m_confirmations, {});
+    lock.unlock();
+    for (const auto &[index, submission] : submissions) {
+        submission.hook(OutcomeUnknown);
+    }
+    for (const auto &[token, hook] : confirmations) {
+        hook(Closing);
+    }
+}
+
 void Replicator::stop()
 {
     m_storage.finish();
--- a/src/control/replicator.h
+++ b/src/control/replicator.h
@@ -83,6 +83,9 @@
     consensus::MemberId self() const;
     std::size_t journalBytes() const;
 
+    /** Answers all pending submissions and confirmations with an error, and refuses new ones. */
+    void close();
+
     /** Writes all queued batches to the journal and stops. */
     void stop();
 
@@ -121,6 +124,7 @@
     std::map<consensus::LogIndex, Submission> m_submissions;
     std::map<consensus::ReadToken, ConfirmHook> m_confirmations;
     consensus::ReadToken m_lastReadToken;
+    bool m_isClosed = false;
     /** Used only by the storage worker. */
     journal::Journal m_journal;
     bool m_storageFailed = false;
--- a/tests/control/replicator.cpp
+++ b/tests/control/replicator.cpp
@@ -143,6 +143,31 @@
     CHECK(core::error(answers[0]).code == core::ErrorCode::NoQuorum);
 }
 
+TEST_CASE("closing answers pending submissions and confirmations, and refuses new ones")
+{
+    Fixture fixture;
+    fixture.elect();
+    std::vector<core::ErrorCode> errors;
+    const auto submit = [&]() {
+        fixture.replicator().submit("change", [&errors](const core::Result<std::string> &answer) {
+            errors.push_back(core::error(answer).code);
+        });
+    };
+    const auto confirm = [&]() {
+        fixture.replicator().confirm([&errors](const core::Result<LogIndex> &index) {
+            errors.push_back(core::error(index).code);
+        });
+    };
+    submit();
+    confirm();
+    CHECK(errors.empty());
+    fixture.replicator().close();
+    CHECK(errors == std::vector{core::ErrorCode::ChangeNotCommitted, core::ErrorCode::NoQuorum});
+    submit();
+    confirm();
+    CHECK(errors.size() == 4);
+}
+
 TEST_CASE("a control host whose snapshot can't be restored does not start")
 {
     const support::TemporaryFolder folder;
--- a/tests/processes/control.cpp
+++ b/tests/processes/control.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
+#include <future>
 #include <optional>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace pimentoshed;
@@ -228,3 +230,36 @@
     std::this_thread::sleep_for(8s);
     CHECK(fleet.waitUntilReady(6));
 }
+
+TEST_CASE("a control host with a submission that its disk can't store ends after SIGTERM")
+{
+    Fleet fleet(18, 1, 3);
+    std::optional<unsigned> leader;
+    REQUIRE(eventually(
+        [&]() {
+            leader = leaderOf(fleet, 3);
+            return leader.has_value();
+        },
+        10s));
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(0), LibraryFile}) == 0);
+    auto &host = fleet.control(*leader);
+    const auto pid = host.pid();
+    const rlimit full{1, RLIM_INFINITY};
+    REQUIRE(prlimit(host.pid(), RLIMIT_FSIZE, &full, nullptr) == 0);
+    // Forwarded to the leader, which can't store it.
+    std::thread submission([&]() {
+        fleet.run({"take-out", "--at=" + fleet.operatorAddress((*leader + 1) % 3), "ravne"});
+    });
+    std::this_thread::sleep_for(300ms);
+    host.signal(SIGTERM);
+    auto ended = std::async(std::launch::async, [&host]() {
+        return host.wait();
+    });
+    const bool hasEnded = ended.wait_for(5s) == std::future_status::ready;
+    CHECK(hasEnded);
+    if (!hasEnded) {
+        kill(pid, SIGKILL);
+    }
+    CHECK(ended.get() == 0);
+    submission.join();
+}
--- a/tests/processes/harness.cpp
+++ b/tests/processes/harness.cpp
@@ -75,7 +75,10 @@
 
 void Process::signal(int number) const
 {
-    kill(m_pid, number);
+    // With -1, kill() would signal every process.
+    if (isStarted()) {
+        kill(m_pid, number);
+    }
 }
 
 bool Process::isStarted() const
