Keep a target's pace also when each response names its limit again

Found by reading the diff: a response that named the limit moved the next turn to at most one interval ahead, which with bursts of two allowed a request after each response; only the spacing of load probes kept the limit. The turn may now lie as far ahead as a burst puts it. The extended unit test failed before: 400 requests in 400 ms, 2 allowed.

--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -476,7 +476,7 @@
         entry.limitNamedAt = now;
         updateRequestPace(entry);
         // A higher limit than before holds at once.
-        entry.nextTurn = previous ? std::min(entry.nextTurn, now + entry.pace.interval) : now;
+        entry.nextTurn = previous ? std::min(entry.nextTurn, now + entry.pace.burst * entry.pace.interval) : now;
     } else if (signals.limitStatement == LimitStatement::None && sent >= entry.limitNamedAt) {
         // Responses to earlier requests may come after the one that named the limit.
         entry.requestLimit.reset();
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -304,9 +304,21 @@
     // One per 500 ms, and one more that has been saved up.
     CHECK(sent == 5);
     CHECK(probes == 4);
-    router.recordSignals(makeTarget("t0"), {}, Start + 4s, Start + 4s);
-    CHECK(core::ok(router.assign(Start + 4s)));
-    CHECK(core::ok(router.assign(Start + 4s)));
+    // A response that names the same limit again allows nothing more.
+    unsigned more = 0;
+    for (auto now = Start + 10s; now < Start + 10400ms; now += 1ms) {
+        const auto assignment = router.assign(now);
+        if (core::ok(assignment)) {
+            ++more;
+            router.release(core::value(assignment),
+                           {AttemptOutcome::Answered, 1ms, routing::TargetSignals{{}, LimitStatement::Named, 4}},
+                           now);
+        }
+    }
+    CHECK(more == 2);
+    router.recordSignals(makeTarget("t0"), {}, Start + 11s, Start + 11s);
+    CHECK(core::ok(router.assign(Start + 11s)));
+    CHECK(core::ok(router.assign(Start + 11s)));
 }
 
 TEST_CASE("a target that says in a response that it leaves gets no more requests until it has restarted")
