--- a/tests/processes/oddmessages.cpp
+++ b/tests/processes/oddmessages.cpp
@@ -78,7 +78,7 @@
         announcement("cold_left", R"("1e999s")"),
         announcement("state", R"("asleep")"),
         announcement("service", R"({})"),
-        "\xff\xfe\x00",
+        "\xff\xfe",
     };
     for (const auto &body : bodies) {
         // For an id of its own, and for that of the sound target.
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -200,7 +200,7 @@
 std::string PlatformFleet::writeSettings(const std::string &name, unsigned host, bool isControl)
 {
     const auto ip = fmt::format("127.{}.0.{}", m_subnet, host);
-    const std::string path = m_folder.path() / (name + ".toml");
+    std::string path = m_folder.path() / (name + ".toml");
     std::ofstream file(path);
     file << fmt::format("node_name = \"{}\"\nip = \"{}\"\nzone = \"ravne\"\nport_range = [7540,7555]\n", name, ip)
          << fmt::format("seeds = [\"{}\"]\nbootstrap = true\nheartbeat = \"1500ms\"\n", controlAddress())
