Bound the pieces, not only the bytes, of a response that is skipped

A stray or rejected response with a body of small chunks without end was read up to 64 KiB, one read for each chunk; with AddressSanitizer that took 2.9 s where the new test of endless bytes allows 1 s. At most 1024 pieces are read now.

--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -323,10 +323,15 @@
 bool RelayAttempt::skipAnswer()
 {
     constexpr std::uint64_t MaxSkippedBytes = 65536;
+    /** Bounds the work for a body of many small chunks, each of which is a piece. */
+    constexpr unsigned MaxSkippedPieces = 1024;
     std::string piece;
     std::uint64_t skipped = 0;
+    unsigned pieces = 0;
     const bool endsByItself = !m_answerParser->need_eof();
-    while (!m_failure && !m_answerParser->is_done() && skipped < MaxSkippedBytes && endsByItself) {
+    while (!m_failure && !m_answerParser->is_done() && skipped < MaxSkippedBytes && pieces < MaxSkippedPieces
+           && endsByItself) {
+        ++pieces;
         if (!readAnswerPiece(piece)) {
             return false;
         }
