Estimate processing times by their median, and give probation by report only

On the large Fund, probation requests went to slow targets blindly.

Cause: the mean of a bimodal time (calls within calls) exceeded the objective, so that no target seemed in time; an ejected target got every fourth request whatever it would have reported.

Also: a domain whose targets are all ejected counts as none, and a local target needs an even chance to be in time while the request can still wait for a better one.

--- a/src/routing/processingtimeestimate.cpp
+++ b/src/routing/processingtimeestimate.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/** Minimum weight of a new sample: the estimate depends on about the last forty samples. */
-constexpr double MinSampleWeight = 0.05;
+/** Smallest step towards a new sample, as a fraction of the estimate. */
+constexpr double MinStep = 0.05;
 /** Number of samples that an assumed value counts as: the first requests may all be unusual. */
 constexpr double AssumedSampleCount = 2;
 
@@ -28,7 +28,12 @@
 {
     ++m_sampleCount;
     const double processingTime = static_cast<double>(latency.count()) / std::max(slowness, 1.0);
-    m_nanoseconds += (processingTime - m_nanoseconds) * std::max(MinSampleWeight, 1 / m_sampleCount);
+    if (!known()) {
+        m_nanoseconds = processingTime;
+        return;
+    }
+    const double step = std::max(MinStep, 1 / m_sampleCount);
+    m_nanoseconds = std::clamp(processingTime, m_nanoseconds * (1 - step), m_nanoseconds * (1 + step));
 }
 
 bool ProcessingTimeEstimate::known() const
--- a/src/routing/processingtimeestimate.h
+++ b/src/routing/processingtimeestimate.h
@@ -10,8 +10,10 @@
 {
 
 /**
- * Moving mean of the processing time at a target of usual speed. Until some requests have ended, an assumed value
- * dominates: without an estimate, a host would assign requests to any target, however slow. Not thread-safe.
+ * Moving median of the processing time at a target of usual speed: each sample moves the estimate by a small step, so
+ * that requests at faulty targets, and those of which the target makes further calls, don't raise it for all. Until
+ * some requests have ended, an assumed value dominates: without an estimate, a host would assign requests to any
+ * target, however slow. Not thread-safe.
  */
 class ProcessingTimeEstimate
 {
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -33,6 +33,8 @@
 constexpr core::Duration CurrentReportAge = std::chrono::milliseconds(25);
 /** A request stays queued while its probability to end in time is lower than this at every target. */
 constexpr double MinOnTimeProbability = 0.3;
+/** The same while only local targets are considered: the request still has time for a better target. */
+constexpr double MinLocalOnTimeProbability = 0.5;
 /** Spread of a request's actual time as a fraction of its expected time; processing times vary by a third. */
 constexpr double TimeSpread = 0.25;
 /** Factor on the probability of a target that reports itself as unhealthy: it may be wrong, but others come first. */
@@ -150,6 +152,15 @@
                                                                              std::size_t count)
 {
     std::vector<std::shared_ptr<const targets::Target>> found;
+    if (options.probationNeedsReport && options.allowedTargets.empty()) {
+        auto anyReport = options;
+        anyReport.probationNeedsReport = false;
+        if (const auto position = findDueProbation(now, anyReport)) {
+            m_assignmentsSinceProbation = 0;
+            found.push_back(m_entries[*position].target);
+            ++count;
+        }
+    }
     collectCandidates(now, options);
     while (found.size() < count && !m_candidates.empty()) {
         const auto choice = m_hooks.picker(m_candidates, m_hooks.random);
@@ -550,8 +561,9 @@
     // An old report excludes no target that can be probed again. Targets named by the caller have just been probed.
     const auto valid = options.allowedTargets.empty() ? CurrentReportAge : ReportLifetime;
     const bool isCurrent = entry.report && now - entry.reportedAt <= valid;
+    const double minProbability = options.localOnly ? MinLocalOnTimeProbability : MinOnTimeProbability;
     const bool isInTime =
-        options.objective == core::Duration{} || !isCurrent || candidate.onTimeProbability >= MinOnTimeProbability;
+        options.objective == core::Duration{} || !isCurrent || candidate.onTimeProbability >= minProbability;
     return isInTime && estimatedLoad(entry, now) < slots(entry) && (!options.idleOnly || isIdle(entry, now));
 }
 
@@ -587,7 +599,9 @@
 
 std::optional<std::size_t> ServiceRouter::findDueProbation(core::TimePoint now, const AssignOptions &options)
 {
-    if (m_outlierCount == 0 || m_assignmentsSinceProbation < AssignmentsPerProbation) {
+    // Where reports are needed, shortlist() has limited how many targets were offered.
+    const bool isTurn = options.probationNeedsReport || m_assignmentsSinceProbation >= AssignmentsPerProbation;
+    if (m_outlierCount == 0 || !isTurn) {
         return std::nullopt;
     }
     const auto first = core::randomBelow(m_hooks.random, m_entries.size());
@@ -595,13 +609,23 @@
         const auto position = (first + step) % m_entries.size();
         const auto &entry = m_entries[position];
         if (entry.outlierState.isProbationDue(now) && now >= entry.unreachableUntil
-            && entry.inFlightAttempts.size() < limit(entry, now) && isAllowed(options, entry.target->id)) {
+            && entry.inFlightAttempts.size() < limit(entry, now) && isAllowed(options, entry.target->id)
+            && isProbationAssignable(entry, options, now)) {
             return position;
         }
     }
     return std::nullopt;
 }
 
+bool ServiceRouter::isProbationAssignable(const Entry &entry, const AssignOptions &options, core::TimePoint now) const
+{
+    if (!options.probationNeedsReport) {
+        return true;
+    }
+    return !options.allowedTargets.empty() && entry.report && now - entry.reportedAt <= ReportLifetime
+           && isAssignable(entry, makeCandidate(entry, limit(entry, now), options, now), options, now);
+}
+
 std::optional<std::size_t> ServiceRouter::pickTarget(core::TimePoint now, const AssignOptions &options)
 {
     collectCandidates(now, options);
@@ -651,7 +675,7 @@
 bool ServiceRouter::hasReachableLocal(core::TimePoint now) const
 {
     return std::any_of(m_entries.begin(), m_entries.end(), [now](const Entry &entry) {
-        return entry.isLocal && entry.isServing && now >= entry.unreachableUntil;
+        return entry.isLocal && entry.isServing && !entry.isEjected && now >= entry.unreachableUntil;
     });
 }
 
@@ -669,7 +693,7 @@
     const auto attempt = m_nextAttempt++;
     entry.inFlightAttempts.push_back(
         {attempt, now, isProbation, estimatedLoad(entry, now) < slots(entry), slowness(entry, now)});
-    return {entry.target, attempt};
+    return {entry.target, attempt, entry.inFlightAttempts.back().slowness};
 }
 
 void ServiceRouter::erase(std::size_t position)
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -60,12 +60,19 @@
     bool localOnly = false;
     /** Whether only targets of usual speed with most of their slots free may be chosen. */
     bool idleOnly = false;
+    /**
+     * Whether an ejected target gets a probation request only if it has just reported its load and can be expected to
+     * end the request in time. For hosts that probe targets; shortlist() then also offers targets that are due.
+     */
+    bool probationNeedsReport = false;
 };
 
 /** A request that was assigned to a target. It must be released once. */
 struct Assignment {
     std::shared_ptr<const targets::Target> target;
     std::uint64_t attempt = 0;
+    /** How much slower than usual the target was estimated to be, by its load report. */
+    double slowness = 1;
 };
 
 /** Routing state of one target, for dumps and tests. */
@@ -221,6 +228,8 @@
                             const AssignOptions &options,
                             core::TimePoint now) const;
     std::optional<std::size_t> findDueProbation(core::TimePoint now, const AssignOptions &options);
+    /** Whether the report of an ejected target allows a probation request. */
+    bool isProbationAssignable(const Entry &entry, const AssignOptions &options, core::TimePoint now) const;
     std::optional<std::size_t> pickTarget(core::TimePoint now, const AssignOptions &options);
     void collectCandidates(core::TimePoint now, const AssignOptions &options);
     bool hasReachableLocal(core::TimePoint now) const;
