Refuse what a stopping host can't finish; let late requests yield; wait for the first configuration

Reports: requests that came late in the grace period were passed on and cut.

Late requests take only idle targets for a third of the time that they have left, so that others that can still be in time go first. Requests to a host that has just started wait for its first configuration (up to 500 ms) instead of coming back later; it retries its control hosts every 20 ms at first.

The new line request-late says where the time of a late request went.

--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -4,8 +4,10 @@
 #include "http/jsonreply.h"
 #include "http/loadprobe.h"
 #include "http/relay.h"
+#include "requests/stoprule.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -47,6 +49,20 @@
  * targets before remote ones are considered.
  */
 constexpr int LocalWaitDivisor = 3;
+/**
+ * Divisor of the time that a late request has left: for this part of it, the request takes only idle targets, so that
+ * requests that can still meet their objective go first on every host.
+ */
+constexpr int LatePatienceDivisor = 3;
+/** Pause between two attempts of a late request to find an idle target, at least; else half the processing time. */
+constexpr core::Duration MinLatePause = std::chrono::milliseconds(30);
+/**
+ * How long a request may wait for this host's first configuration, and the divisor of the caller's timeout that limits
+ * it further. Hosts that start together are configured within some 400 ms.
+ */
+constexpr core::Duration MaxStartWait = std::chrono::milliseconds(500);
+constexpr int StartWaitDivisor = 4;
+constexpr core::Duration StartWaitStep = std::chrono::milliseconds(10);
 /** How long a request body may take to arrive before a target is chosen. */
 constexpr core::Duration BodyTimeout = std::chrono::seconds(10);
 
@@ -83,6 +99,10 @@
 
     void handle(http::Exchange &exchange) const
     {
+        if (!awaitConfiguration(exchange)) {
+            exchange.closeAfterwards();
+            return;
+        }
         const auto active = m_dependencies.view.current(m_dependencies.timers.now());
         if (!core::ok(active)) {
             core::log(core::LogLevel::Info,
@@ -106,21 +126,56 @@
     }
 
 private:
+    /** Which of the targets with capacity a request may take. */
+    enum class AcceptableTargets : std::uint8_t {
+        Any,
+        Idle,
+    };
+
     /** A request in progress. */
     struct ActiveRequest {
         http::Exchange &exchange;
         const configuration::Route &route;
         const configuration::Service &service;
-        http::RelayOptions relayOptions;
+        http::RelayOptions relayOptions{};
+        core::TimePoint arrival{};
         /** When the caller began to wait, earlier attempts of the caller included. */
         core::TimePoint waitStart{};
+        /** Time spent so far to find targets with capacity. */
+        core::Duration assignmentTime{};
+        /** Targets that were probed for the latest attempt, and those that responded. */
+        std::size_t probedTargets = 0;
+        std::size_t respondingTargets = 0;
+        /** Whether as many targets as necessary were probed once. Later attempts of a waiting request probe a few. */
+        bool hasSurveyed = false;
         /** Targets already tried, those included to which no connection could be made. */
-        std::vector<core::TargetId> triedTargets;
+        std::vector<core::TargetId> triedTargets{};
         /** Number of attempts that sent the complete head of the request. */
         unsigned attemptsSent = 0;
-        requests::RequestOutcome outcome;
+        requests::RequestOutcome outcome{};
     };
 
+    /**
+     * On a host that has just started, lets a request wait for the first configuration: refused, it would come back
+     * later than that. Returns whether the caller is still connected.
+     */
+    bool awaitConfiguration(http::Exchange &exchange) const
+    {
+        if (m_dependencies.view.latest()) {
+            return true;
+        }
+        const auto timeout = m_dependencies.protocolHooks.callerTimeout(exchange);
+        const auto share =
+            core::ok(timeout) && core::value(timeout) ? *core::value(timeout) / StartWaitDivisor : MaxStartWait;
+        const auto end = m_dependencies.timers.now() + std::min(MaxStartWait, share);
+        while (!m_dependencies.view.latest() && m_dependencies.timers.now() < end) {
+            if (!waitFor(exchange, StartWaitStep)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     http::Reply addresses(const http::Exchange &exchange, const changes::ActiveConfiguration &active) const
     {
         const auto &limits = active.configuration->limits;
@@ -157,6 +212,7 @@
             failed({ErrorCode::RequestKeyMissing, service->requestKeyHeader});
             return;
         }
+        const auto arrival = m_dependencies.timers.now();
         const auto deadline = deadlineOf(exchange, *route);
         if (!core::ok(deadline)) {
             failed(core::error(deadline));
@@ -167,7 +223,9 @@
             failed(core::error(body));
             return;
         }
-        ActiveRequest request{exchange, *route, *service, {}, waitStartOf(*route, core::value(deadline)), {}, 0, {}};
+        ActiveRequest request{exchange, *route, *service};
+        request.arrival = arrival;
+        request.waitStart = waitStartOf(*route, core::value(deadline));
         request.relayOptions.deadline = core::value(deadline);
         request.relayOptions.maxRequestBytes = service->maxRequestBytes;
         request.relayOptions.shedIsNotRun = service->shedIsNotRun;
@@ -243,7 +301,9 @@
         m_dependencies.onFirstAttempt(request.service);
         while (true) {
             std::unique_ptr<http::TargetConnection> connection;
+            const auto assignmentStart = m_dependencies.timers.now();
             const auto assignment = assignOrWait(request, connection);
+            request.assignmentTime += m_dependencies.timers.now() - assignmentStart;
             if (!core::ok(assignment)) {
                 if (core::error(assignment).code == ErrorCode::CallerTooSlow) {
                     request.exchange.closeAfterwards();
@@ -262,6 +322,7 @@
             completed.targetWait = result.headWaitTime;
             if (!result.outcome.failure) {
                 completed.failure.reset();
+                logIfLate(request, core::value(assignment), result);
                 return;
             }
             recordFailure(request, core::value(assignment).target->id, result);
@@ -323,10 +384,13 @@
      * Assigns a target to @p request, at once or after it has been queued and scheduled. Error CallerTooSlow if the
      * caller has closed its connection meanwhile.
      */
-    core::Result<routing::Assignment> assignOrWait(const ActiveRequest &request,
+    core::Result<routing::Assignment> assignOrWait(ActiveRequest &request,
                                                    std::unique_ptr<http::TargetConnection> &connection) const
     {
         const auto &service = request.service.name;
+        if (isLate(request, m_dependencies.router.usualProcessingTime(service), m_dependencies.timers.now())) {
+            return assignLate(request, connection);
+        }
         if (m_dependencies.scheduler.waitingCount(service) == 0) {
             auto assignment = assign(request, connection);
             if (core::ok(assignment) || core::error(assignment).code != ErrorCode::NoTarget) {
@@ -338,17 +402,12 @@
         if (pausedUntil && *pausedUntil + processingTime > queueDeadline(request, processingTime)) {
             return core::Error{ErrorCode::NoTarget, "no target takes requests before the deadline"};
         }
-        if (isLate(request, processingTime, m_dependencies.timers.now())) {
-            return core::Error{ErrorCode::NoTarget,
-                               "no target has capacity, and the request can no longer meet its objective"};
-        }
         auto scheduled = m_dependencies.scheduler.wait(
             request.exchange, service, queueDeadline(request, processingTime), processingTime);
         while (core::ok(scheduled)) {
-            const bool callerLeft = request.exchange.body().received()
-                                    && request.exchange.readAvailable() == http::CallerConnectionState::Closed;
-            auto assignment = callerLeft ? core::Result<routing::Assignment>(core::Error{ErrorCode::CallerTooSlow, {}})
-                                         : assign(request, connection);
+            auto assignment = hasCallerLeft(request.exchange)
+                                  ? core::Result<routing::Assignment>(core::Error{ErrorCode::CallerTooSlow, {}})
+                                  : assign(request, connection);
             if (core::ok(assignment) || core::error(assignment).code != ErrorCode::NoTarget) {
                 m_dependencies.scheduler.complete(core::value(scheduled));
                 return assignment;
@@ -358,6 +417,55 @@
         return core::error(scheduled);
     }
 
+    /**
+     * Assigns a target to a request that can't meet its objective any more: an idle one while it has time, then any
+     * with capacity. Such a request isn't queued.
+     */
+    core::Result<routing::Assignment> assignLate(ActiveRequest &request,
+                                                 std::unique_ptr<http::TargetConnection> &connection) const
+    {
+        const auto &service = request.service.name;
+        const auto started = m_dependencies.timers.now();
+        const auto patienceEnd = started + (request.relayOptions.deadline - started) / LatePatienceDivisor;
+        const auto pausedUntil = m_dependencies.router.pausedUntil(service, started);
+        if (pausedUntil && *pausedUntil > patienceEnd) {
+            return core::Error{ErrorCode::NoTarget, "no target takes requests for long"};
+        }
+        const auto pause = std::max(MinLatePause, m_dependencies.router.usualProcessingTime(service) / 2);
+        bool hasPatience = true;
+        while (hasPatience) {
+            hasPatience = m_dependencies.timers.now() + pause <= patienceEnd;
+            if (m_dependencies.scheduler.waitingCount(service) == 0 || !hasPatience) {
+                auto assignment =
+                    assign(request, connection, hasPatience ? AcceptableTargets::Idle : AcceptableTargets::Any);
+                if (core::ok(assignment) || core::error(assignment).code != ErrorCode::NoTarget) {
+                    return assignment;
+                }
+            }
+            if (hasPatience && !waitFor(request.exchange, pause)) {
+                return core::Error{ErrorCode::CallerTooSlow, {}};
+            }
+        }
+        return core::Error{ErrorCode::NoTarget,
+                           "no target has capacity, and the request can no longer meet its objective"};
+    }
+
+    /** Lets @p duration pass. Returns whether the caller is still connected. */
+    static bool waitFor(http::Exchange &exchange, core::Duration duration)
+    {
+        boost::asio::steady_timer timer(exchange.stream().get_executor(),
+                                        std::chrono::duration_cast<boost::asio::steady_timer::duration>(duration));
+        boost::system::error_code ignored;
+        timer.async_wait(exchange.yield()[ignored]);
+        return !hasCallerLeft(exchange);
+    }
+
+    /** Whether the caller has closed its connection after it sent the whole request. */
+    static bool hasCallerLeft(http::Exchange &exchange)
+    {
+        return exchange.body().received() && exchange.readAvailable() == http::CallerConnectionState::Closed;
+    }
+
     /**
      * The time left for a response to @p request: until its objective, or until its deadline if the route has no
      * objective or the objective can't be met any more.
@@ -389,10 +497,7 @@
         return request.route.latencyObjective > core::Duration{} && processingTime < request.route.latencyObjective;
     }
 
-    /**
-     * Whether @p request can't meet its objective any more. Such a request isn't queued, so that requests that can
-     * still meet theirs go first on every host.
-     */
+    /** Whether @p request can't meet its objective any more. */
     static bool isLate(const ActiveRequest &request, core::Duration processingTime, core::TimePoint now)
     {
         return isObjectiveReachable(request, processingTime)
@@ -414,22 +519,34 @@
      * Assigns one of the service's current targets to @p request, except those already tried. If the target was probed,
      * @p connection is set to the probe's connection; the connections of other probes go back to the pool.
      */
-    core::Result<routing::Assignment> assign(const ActiveRequest &request,
-                                             std::unique_ptr<http::TargetConnection> &connection) const
+    core::Result<routing::Assignment> assign(ActiveRequest &request,
+                                             std::unique_ptr<http::TargetConnection> &connection,
+                                             AcceptableTargets acceptable = AcceptableTargets::Any) const
     {
         const auto now = m_dependencies.timers.now();
         if (const auto active = m_dependencies.view.current(now); !core::ok(active)) {
             return core::error(active);
         }
+        const auto processingTime = m_dependencies.router.usualProcessingTime(request.service.name);
+        const auto hostEnd = m_dependencies.hostEnd();
+        if (hostEnd
+            && !requests::canEndBefore(
+                *hostEnd, {request.relayOptions.idempotent, now, request.relayOptions.deadline, processingTime})) {
+            return core::Error{ErrorCode::Stopping, "this host may end before the request does"};
+        }
         routing::AssignOptions options;
         options.excludedTargets = request.triedTargets;
-        const auto processingTime = m_dependencies.router.usualProcessingTime(request.service.name);
         options.objective = timeLeft(request, processingTime, now);
         options.localOnly = !mayUseRemoteDomains(request, processingTime, now);
+        options.idleOnly = acceptable == AcceptableTargets::Idle;
+        options.probationNeedsReport = probesTargets(request.service);
         auto probed = probeTargets(request, options);
         // Only targets that answered a probe are eligible: the load that the others last reported may be out of date.
         const auto responding = respondingTargets(probed);
         options.allowedTargets = responding;
+        request.probedTargets = probed.size();
+        request.respondingTargets = responding.size();
+        request.hasSurveyed = true;
         auto assignment = m_dependencies.router.assign(request.service.name, m_dependencies.timers.now(), options);
         for (auto &each : probed) {
             if (!each.probe.connection) {
@@ -445,6 +562,11 @@
         return assignment;
     }
 
+    bool probesTargets(const configuration::Service &service) const
+    {
+        return m_dependencies.options.probesPerRound > 0 && !service.healthPath.empty();
+    }
+
     /** A probed target and the result of its probe. */
     struct ProbedTarget {
         std::shared_ptr<const targets::Target> target;
@@ -470,13 +592,18 @@
     std::vector<ProbedTarget> probeTargets(const ActiveRequest &request, const routing::AssignOptions &options) const
     {
         std::vector<ProbedTarget> probed;
-        if (m_dependencies.options.probesPerRound == 0 || request.service.healthPath.empty()) {
+        if (!probesTargets(request.service)) {
             return probed;
         }
         std::vector<core::TargetId> excluded(options.excludedTargets.begin(), options.excludedTargets.end());
         auto probeOptions = options;
         probeOptions.localOnly = true;
+        probeOptions.idleOnly = false;
         while (!hasAssignableTarget(request, options, probed)) {
+            const bool probesFew = options.idleOnly || request.hasSurveyed;
+            if (probesFew && probed.size() > m_dependencies.options.probesPerRound) {
+                break;
+            }
             probeOptions.excludedTargets = excluded;
             // A probe across failure domains is expensive, so remote targets are probed one at a time.
             const bool single = probed.empty() || !probeOptions.localOnly;
@@ -504,12 +631,19 @@
         const auto responding = respondingTargets(probed);
         auto respondingOnly = options;
         respondingOnly.allowedTargets = responding;
-        respondingOnly.idleOnly = probed.size() < m_dependencies.options.probesPerRound;
+        respondingOnly.idleOnly = options.idleOnly || probed.size() < m_dependencies.options.probesPerRound;
         return !responding.empty()
                && !m_dependencies.router.shortlist(request.service.name, m_dependencies.timers.now(), respondingOnly, 1)
                        .empty();
     }
 
+    core::Duration probeTimeout(const configuration::Route &route) const
+    {
+        const auto &options = m_dependencies.options;
+        return std::clamp(
+            route.latencyObjective / options.probeTimeoutDivisor, options.minProbeTimeout, options.maxProbeTimeout);
+    }
+
     /** Probes up to @p count targets and passes their load, or the lack of a response, to the router. */
     std::vector<ProbedTarget> probe(const ActiveRequest &request,
                                     const routing::AssignOptions &options,
@@ -526,11 +660,11 @@
             endpoints.push_back({target->id, target->address});
         }
         const auto sent = m_dependencies.timers.now();
-        auto results = http::probeLoad(
-            request.exchange,
-            m_dependencies.connections,
-            endpoints,
-            {request.service.healthPath, m_dependencies.options.probeTimeout, m_dependencies.protocolHooks});
+        auto results =
+            http::probeLoad(request.exchange,
+                            m_dependencies.connections,
+                            endpoints,
+                            {request.service.healthPath, probeTimeout(request.route), m_dependencies.protocolHooks});
         const auto now = m_dependencies.timers.now();
         std::vector<ProbedTarget> probed;
         probed.reserve(chosen.size());
@@ -566,6 +700,36 @@
                    {"error", describe(*result.outcome.failure)}});
     }
 
+    /** Logs a request that was answered after its objective, with where its time went. */
+    void logIfLate(const ActiveRequest &request,
+                   const routing::Assignment &assignment,
+                   const http::RelayResult &result) const
+    {
+        const auto now = m_dependencies.timers.now();
+        const auto objective = request.route.latencyObjective;
+        if (objective == core::Duration{} || now <= request.waitStart + objective) {
+            return;
+        }
+        const auto milliseconds = [](core::Duration duration) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+        };
+        core::log(core::LogLevel::Info,
+                  "request-late",
+                  {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
+                   {"service", request.service.name.str()},
+                   {"target", assignment.target->id.str()},
+                   {"domain", assignment.target->domain.str()},
+                   {"slowness", assignment.slowness},
+                   {"probed", static_cast<std::uint64_t>(request.probedTargets)},
+                   {"responded", static_cast<std::uint64_t>(request.respondingTargets)},
+                   {"before_arrival_ms", milliseconds(request.arrival - request.waitStart)},
+                   {"assignment_ms", milliseconds(request.assignmentTime)},
+                   {"target_ms", milliseconds(result.headWaitTime)},
+                   {"total_ms", milliseconds(now - request.arrival)},
+                   {"usual_ms", milliseconds(m_dependencies.router.usualProcessingTime(request.service.name))},
+                   {"attempts", static_cast<std::uint64_t>(request.triedTargets.size() + 1)}});
+    }
+
     void logRefusal(const ActiveRequest &request) const
     {
         core::log(core::LogLevel::Info,
@@ -599,10 +763,13 @@
         }
         std::optional<core::Duration> retryAfter;
         if (outcome.run == RunState::NotRun) {
-            const auto base = outcome.failure->code == ErrorCode::NotCurrent ? NotCurrentRetryAfter
-                              : service != nullptr                           ? expectedWait(*service)
-                                                                             : MinRetryAfter;
-            const auto pause = service != nullptr ? remainingPause(*service) : core::Duration{};
+            const auto code = outcome.failure->code;
+            // Other hosts can take at once what this one refuses because it stops.
+            const bool isForCapacity = service != nullptr && code != ErrorCode::Stopping;
+            const auto base = code == ErrorCode::NotCurrent ? NotCurrentRetryAfter
+                              : isForCapacity               ? expectedWait(*service)
+                                                            : MinRetryAfter;
+            const auto pause = isForCapacity ? remainingPause(*service) : core::Duration{};
             retryAfter = pause + base + base * core::randomBelow(m_dependencies.random, 100) / 100;
         }
         exchange.send(m_dependencies.protocolHooks.makeRefusal({std::move(outcome), retryAfter}));
--- a/src/entry/callerhttphandler.h
+++ b/src/entry/callerhttphandler.h
@@ -16,6 +16,7 @@
 #include "telemetry/registry.h"
 
 #include <functional>
+#include <optional>
 
 namespace pimentoshed::entry
 {
@@ -26,8 +27,13 @@
     std::size_t answerBufferBytes = 0;
     /** The most targets probed for their load at once before an attempt; 0 disables probes. */
     std::size_t probesPerRound = 0;
-    /** Probes without a response after this time are given up. */
-    core::Duration probeTimeout = std::chrono::milliseconds(8);
+    /**
+     * Probes without a response after this part of the route's objective are given up, within the bounds below. A host
+     * with a small share of a processor takes many milliseconds for a probe on a new connection.
+     */
+    int probeTimeoutDivisor = 16;
+    core::Duration minProbeTimeout = std::chrono::milliseconds(8);
+    core::Duration maxProbeTimeout = std::chrono::milliseconds(60);
 };
 
 /** Dependencies of the caller handler. */
@@ -47,6 +53,8 @@
     std::function<void(const configuration::Service &)> onFirstAttempt;
     /** Called at the end of each request that was relayed or refused. */
     std::function<void(const telemetry::CompletedRequest &)> onRequestEnd;
+    /** When this host ends and cuts the requests in progress; nothing unless it is stopping. */
+    std::function<std::optional<core::TimePoint>()> hostEnd;
     http::ProtocolHooks protocolHooks;
     CallerHandlerOptions options;
 };
--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t MaxDoublings = 3;
 constexpr auto ReportTimeout = std::chrono::milliseconds(500);
 constexpr auto RetryDelay = std::chrono::milliseconds(100);
+/** The same before the first response: control hosts that start together with this host refuse calls for a moment. */
+constexpr auto StartRetryDelay = std::chrono::milliseconds(20);
 /** Another control host is tried if the present one confirms no call for this time. */
 constexpr auto ConfirmTimeout = std::chrono::milliseconds(2200);
 /**
@@ -101,6 +103,17 @@
     return 1U << std::min(m_failures / m_controlHosts.size(), MaxDoublings);
 }
 
+core::Duration ControlFeedClient::retryDelay() const
+{
+    {
+        const core::Lock lock(m_mutex);
+        if (m_hasResponse) {
+            return RetryDelay;
+        }
+    }
+    return StartRetryDelay * backoff();
+}
+
 void ControlFeedClient::sendOwnRecord()
 {
     // The reply is ignored: the long poll that is pending beside this call brings the same updates.
@@ -138,7 +151,7 @@
     if (!core::ok(reply)) {
         core::log(core::LogLevel::Warning, "follow-failed", {{"error", core::describe(core::error(reply))}});
         switchControlHost();
-        runAfter(RetryDelay, &ControlFeedClient::poll);
+        runAfter(retryDelay(), &ControlFeedClient::poll);
         return;
     }
     m_dependencies.onMessage(
--- a/src/entry/controlfeedclient.h
+++ b/src/entry/controlfeedclient.h
@@ -104,6 +104,7 @@
     /** Reports what is pending after a report has arrived; after a failed one, repeats it with a delay. */
     void onReportEnd(const std::vector<targets::Target> &sent, bool arrived);
     unsigned backoff() const;
+    core::Duration retryDelay() const;
     /** Returns the address of the control host that is followed now. */
     std::string followedAddress() const;
     /** Ends the backoff after a response of the control host. */
--- a/tests/processes/gracefulstop.cpp
+++ b/tests/processes/gracefulstop.cpp
@@ -143,14 +143,43 @@
     Fleet fleet(21, 1);
     unsetenv("PIMENTOSHED_STOP_LIMIT");
     REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(), LibraryFile}) == 0);
-    fleet.addTargets("loans", 1, {"--service-micros=4500000"});
+    fleet.addTargets("catalogue", 1);
     REQUIRE(fleet.waitUntilReady(1));
+    for (unsigned i = 0; i < 20; ++i) {
+        REQUIRE(core::ok(sendRequest(fleet.callerAddress(0), "/catalogue/a")));
+    }
     fleet.entry(0).signal(SIGTERM);
-    std::this_thread::sleep_for(std::chrono::seconds(6));
+    std::this_thread::sleep_for(std::chrono::milliseconds(7200));
+    // By its usual processing time the request would end long before the host does.
+    fleet.target(0).signal(SIGSTOP);
     std::thread caller([&fleet]() {
-        sendRequest(fleet.callerAddress(0), "/loans/", "POST", "card 17", {{"Idempotency-Key", "loan-1"}});
+        sendRequest(fleet.callerAddress(0), "/catalogue/b");
     });
     constexpr int StoppedWithRequests = 4;
     CHECK(fleet.entry(0).wait() == StoppedWithRequests);
+    fleet.target(0).signal(SIGCONT);
     caller.join();
 }
+
+TEST_CASE("a stopping entry host refuses a request that may run once only and may outlast it")
+{
+    setenv("PIMENTOSHED_STOP_LIMIT", "0", 1);
+    Fleet fleet(22, 1);
+    unsetenv("PIMENTOSHED_STOP_LIMIT");
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(), LibraryFile}) == 0);
+    fleet.addTargets("loans", 1, {"--service-micros=4500000"});
+    REQUIRE(fleet.waitUntilReady(1));
+    fleet.entry(0).signal(SIGTERM);
+    const auto lend = [&fleet](const std::string &key) {
+        return sendRequest(fleet.callerAddress(0), "/loans/", "POST", "card 17", {{"Idempotency-Key", key}});
+    };
+    // The host ends 8 s after the signal; a loan may take 5 s.
+    const auto early = lend("loan-1");
+    REQUIRE(core::ok(early));
+    CHECK(core::value(early).status == 200);
+    const auto late = lend("loan-2");
+    REQUIRE(core::ok(late));
+    CHECK(core::value(late).status == 503);
+    CHECK(core::value(late).body.find("\"code\":4011") != std::string::npos);
+    CHECK(fleet.entry(0).wait() == 0);
+}
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -1,6 +1,7 @@
 #include "processes/platformfleet.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <csignal>
 #include <fmt/format.h>
 #include <fstream>
 #include <stdexcept>
@@ -22,13 +23,17 @@
 constexpr unsigned FirstTarget = 100;
 constexpr auto StartLimit = std::chrono::seconds(10);
 
-const std::string Configuration = R"({"version":"00000001","base_version":"00000000",
-    "routes":{"reads":{"hostname":"loans.example","path_prefix":"/a/","kind":"safe","timeout":"1000ms","slo":"400ms",
-                       "priority":0,"service":"loans","attempts":2},
-              "writes":{"hostname":"loans.example","path_prefix":"/b/","kind":"unsafe","timeout":"1000ms",
-                        "slo":"400ms","priority":0,"service":"loans","attempts":2}},
-    "services":{"loans":{"health_path":"/health","max_conns":260,"cold":"3s","cold_per_s":20.0}},
-    "limits":{"max_header_bytes":16384,"max_body_bytes":65536}})";
+std::string configuration(std::chrono::milliseconds timeout)
+{
+    constexpr auto Format = R"({{"version":"00000001","base_version":"00000000",
+    "routes":{{"reads":{{"hostname":"loans.example","path_prefix":"/a/","kind":"safe","timeout":"{0}ms","slo":"400ms",
+                       "priority":0,"service":"loans","attempts":2}},
+              "writes":{{"hostname":"loans.example","path_prefix":"/b/","kind":"unsafe","timeout":"{0}ms",
+                        "slo":"400ms","priority":0,"service":"loans","attempts":2}}}},
+    "services":{{"loans":{{"health_path":"/health","max_conns":260,"cold":"3s","cold_per_s":20.0}}}},
+    "limits":{{"max_header_bytes":16384,"max_body_bytes":65536}}}})";
+    return fmt::format(Format, timeout.count());
+}
 
 bool hasHeader(const http::Reply &reply, const std::string &name)
 {
@@ -149,20 +154,16 @@
     exchange.send(reply);
 }
 
-PlatformFleet::PlatformFleet(unsigned subnet, unsigned entryHosts)
+PlatformFleet::PlatformFleet(unsigned subnet, unsigned entryHosts, std::chrono::milliseconds timeout)
     : m_subnet(subnet)
+    , m_timeout(timeout)
 {
-    const auto start = [this](const std::string &role, const std::string &name, unsigned host) {
-        const auto settings = writeSettings(name, host, role == "control");
-        return Process({"/usr/bin/env", "PIMENTOSHED_CONFIG=" + settings, PIMENTOSHED_BINARY, "platform", role},
-                       logFile(name));
-    };
     m_control = start("control", "control", 1);
     for (unsigned i = 0; i < entryHosts; ++i) {
         m_entries.push_back(start("entry", fmt::format("entry-{}", i), FirstEntry + i));
     }
     const auto isConfigured = [this]() {
-        const auto answer = sendRequest(controlAddress(), "/config", "PUT", Configuration);
+        const auto answer = sendRequest(controlAddress(), "/config", "PUT", configuration(m_timeout));
         return core::ok(answer) && core::value(answer).status == 200;
     };
     const auto areReady = [this]() {
@@ -192,6 +193,20 @@
     }
 }
 
+Process PlatformFleet::start(const std::string &role, const std::string &name, unsigned host)
+{
+    const auto settings = writeSettings(name, host, role == "control");
+    return Process({"/usr/bin/env", "PIMENTOSHED_CONFIG=" + settings, PIMENTOSHED_BINARY, "platform", role},
+                   logFile(name));
+}
+
+void PlatformFleet::restartEntry(unsigned number)
+{
+    m_entries.at(number).signal(SIGKILL);
+    m_entries.at(number).wait();
+    m_entries.at(number) = start("entry", fmt::format("entry-{}", number), FirstEntry + number);
+}
+
 std::string PlatformFleet::logFile(const std::string &name) const
 {
     return m_folder.path() / (name + ".log");
@@ -204,7 +219,8 @@
     std::ofstream file(path);
     file << fmt::format("node_name = \"{}\"\nip = \"{}\"\nzone = \"ravne\"\nport_range = [7540,7555]\n", name, ip)
          << fmt::format("seeds = [\"{}\"]\nbootstrap = true\nheartbeat = \"1500ms\"\n", controlAddress())
-         << "bounds = [\"grace=6s\",\"ttl_max=5s\",\"retry_ratio=0.2\",\"retry_slack=62\"]\n"
+         << fmt::format("bounds = [\"grace={}s\",", GracePeriod.count())
+         << "\"ttl_max=5s\",\"retry_ratio=0.2\",\"retry_slack=62\"]\n"
          << "fault_tolerance.machines = 0\nlimits.cpu_share = 1.0\nzones.ravne = \"koroska\"\n";
     if (isControl) {
         file << fmt::format("data_dir = \"{}\"\n", (m_folder.path() / "data").string())
@@ -255,13 +271,20 @@
 }
 
 core::Result<http::ClientAnswer> PlatformFleet::request(unsigned entry, const std::string &method) const
+{
+    return request(entry, method, fmt::format("r{}", ++m_nextRequest));
+}
+
+core::Result<http::ClientAnswer> PlatformFleet::request(unsigned entry,
+                                                        const std::string &method,
+                                                        const std::string &id) const
 {
     http::ClientRequest request;
     request.method = method;
     request.target = method == "GET" ? "/a/x" : "/b/x";
     request.headers = {
-        {"Host", HostName}, {"X-Request-Id", fmt::format("r{}", ++m_nextRequest)}, {"X-Timeout-Ms", "1000"}};
-    return http::fetch(callerAddress(entry), request, std::chrono::seconds(2));
+        {"Host", HostName}, {"X-Request-Id", id}, {"X-Timeout-Ms", fmt::format("{}", m_timeout.count())}};
+    return http::fetch(callerAddress(entry), request, m_timeout + std::chrono::seconds(1));
 }
 
 std::vector<core::Result<http::ClientAnswer>> PlatformFleet::load(double perSecond, core::Duration length) const
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -10,6 +10,7 @@
 #include "processes/harness.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -73,8 +74,14 @@
 class PlatformFleet
 {
 public:
-    /** Addresses are 127.@p subnet.0.x. Waits until every entry host is ready. Throws std::runtime_error. */
-    PlatformFleet(unsigned subnet, unsigned entryHosts);
+    /** Time from SIGTERM until a host has to have ended. */
+    static constexpr auto GracePeriod = std::chrono::seconds(6);
+
+    /**
+     * Addresses are 127.@p subnet.0.x. Routes and requests have the timeout @p timeout. Waits until every entry host is
+     * ready. Throws std::runtime_error.
+     */
+    PlatformFleet(unsigned subnet, unsigned entryHosts, std::chrono::milliseconds timeout = std::chrono::seconds(1));
     /** If the test has failed, prints the last log lines of each host. */
     ~PlatformFleet();
 
@@ -83,12 +90,16 @@
     std::string targetAddress(unsigned target) const;
     Process &entry(unsigned number);
     Process &control();
+    /** Kills entry host @p number and starts it again. */
+    void restartEntry(unsigned number);
 
     /** Waits until every entry host sends requests to some target. Returns whether that happened within 5 s. */
     bool waitUntilServing() const;
 
     /** Sends one request of the route to entry host @p entry and returns its response. */
     core::Result<http::ClientAnswer> request(unsigned entry, const std::string &method = "GET") const;
+    /** The same with the request id @p id. */
+    core::Result<http::ClientAnswer> request(unsigned entry, const std::string &method, const std::string &id) const;
 
     /**
      * Sends @p perSecond requests a second for @p length, spread over the entry hosts, each on a connection and thread
@@ -98,9 +109,11 @@
 
 private:
     std::string logFile(const std::string &name) const;
+    Process start(const std::string &role, const std::string &name, unsigned host);
     std::string writeSettings(const std::string &name, unsigned host, bool isControl);
 
     const unsigned m_subnet;
+    const std::chrono::milliseconds m_timeout;
     const support::TemporaryFolder m_folder;
     Process m_control;
     std::vector<Process> m_entries;
