--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -56,10 +56,12 @@
     return path == "/health";
 }
 
-PlatformTarget::PlatformTarget(std::string id, std::string address, core::Duration processingTime, TargetScript script)
+PlatformTarget::PlatformTarget(
+    std::string id, std::string address, core::Duration processingTime, TargetScript script, core::Duration probeTime)
     : m_id(std::move(id))
     , m_address(std::move(address))
     , m_processingTime(processingTime)
+    , m_probeTime(probeTime)
     , m_script(std::move(script))
     , m_pool(2)
     , m_timers(m_pool.context())
@@ -138,9 +140,9 @@
         const std::lock_guard lock(m_mutex);
         m_received.push_back(request);
     }
-    if (!request.isProbe()) {
-        boost::asio::steady_timer timer(m_pool.context(),
-                                        std::chrono::duration_cast<std::chrono::microseconds>(m_processingTime));
+    const auto wait = request.isProbe() ? m_probeTime : m_processingTime;
+    if (wait > core::Duration{}) {
+        boost::asio::steady_timer timer(m_pool.context(), std::chrono::duration_cast<std::chrono::microseconds>(wait));
         boost::system::error_code ignored;
         timer.async_wait(exchange.yield()[ignored]);
     }
@@ -278,13 +280,25 @@
 core::Result<http::ClientAnswer> PlatformFleet::request(unsigned entry,
                                                         const std::string &method,
                                                         const std::string &id) const
+{
+    return send(entry, method, id, m_timeout);
+}
+
+core::Result<http::ClientAnswer> PlatformFleet::lateRequest(unsigned entry, std::chrono::milliseconds timeLeft) const
+{
+    return send(entry, "GET", fmt::format("r{}", ++m_nextRequest), timeLeft);
+}
+
+core::Result<http::ClientAnswer> PlatformFleet::send(unsigned entry,
+                                                     const std::string &method,
+                                                     const std::string &id,
+                                                     std::chrono::milliseconds timeout) const
 {
     http::ClientRequest request;
     request.method = method;
     request.target = method == "GET" ? "/a/x" : "/b/x";
-    request.headers = {
-        {"Host", HostName}, {"X-Request-Id", id}, {"X-Timeout-Ms", fmt::format("{}", m_timeout.count())}};
-    return http::fetch(callerAddress(entry), request, m_timeout + std::chrono::seconds(1));
+    request.headers = {{"Host", HostName}, {"X-Request-Id", id}, {"X-Timeout-Ms", fmt::format("{}", timeout.count())}};
+    return http::fetch(callerAddress(entry), request, timeout + std::chrono::seconds(1));
 }
 
 std::vector<core::Result<http::ClientAnswer>> PlatformFleet::load(double perSecond, core::Duration length) const
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -36,8 +36,12 @@
 class PlatformTarget
 {
 public:
-    /** Responds by @p script, to requests after @p processingTime. */
-    PlatformTarget(std::string id, std::string address, core::Duration processingTime, TargetScript script);
+    /** Responds by @p script, to requests after @p processingTime and to load probes after @p probeTime. */
+    PlatformTarget(std::string id,
+                   std::string address,
+                   core::Duration processingTime,
+                   TargetScript script,
+                   core::Duration probeTime = {});
     ~PlatformTarget();
     PlatformTarget(const PlatformTarget &) = delete;
     PlatformTarget &operator=(const PlatformTarget &) = delete;
@@ -60,6 +64,7 @@
     const std::string m_id;
     const std::string m_address;
     const core::Duration m_processingTime;
+    const core::Duration m_probeTime;
     const TargetScript m_script;
     mutable std::mutex m_mutex;
     std::vector<ReceivedRequest> m_received;
@@ -100,6 +105,8 @@
     core::Result<http::ClientAnswer> request(unsigned entry, const std::string &method = "GET") const;
     /** The same with the request id @p id. */
     core::Result<http::ClientAnswer> request(unsigned entry, const std::string &method, const std::string &id) const;
+    /** A read whose caller has only @p timeLeft left, as after earlier attempts. */
+    core::Result<http::ClientAnswer> lateRequest(unsigned entry, std::chrono::milliseconds timeLeft) const;
 
     /**
      * Sends @p perSecond requests a second for @p length, spread over the entry hosts, each on a connection and thread
@@ -108,6 +115,10 @@
     std::vector<core::Result<http::ClientAnswer>> load(double perSecond, core::Duration length) const;
 
 private:
+    core::Result<http::ClientAnswer> send(unsigned entry,
+                                          const std::string &method,
+                                          const std::string &id,
+                                          std::chrono::milliseconds timeout) const;
     std::string logFile(const std::string &name) const;
     Process start(const std::string &role, const std::string &name, unsigned host);
     std::string writeSettings(const std::string &name, unsigned host, bool isControl);
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -140,6 +140,46 @@
     }
 }
 
+TEST_CASE("with load probes, an ejected target gets a probation request only if it reports that it is fast")
+{
+    auto router = makeRouter(4);
+    core::TimePoint now = Start;
+    serve(router, 200, now, Good);
+    serve(router, 100, now, {AttemptOutcome::Failed, 5ms, {}});
+    REQUIRE(router.status(Bad).isEjected);
+    now += 3s;
+    const auto bad = std::make_shared<const targets::Target>(makeTarget("t0"));
+    routing::AssignOptions options;
+    options.objective = 20ms;
+    options.probationNeedsReport = true;
+    // The target is offered to be probed, in addition to a regular one.
+    const auto offered = router.shortlist(now, options, 1);
+    REQUIRE(offered.size() == 2);
+    CHECK(offered.front()->id == Bad);
+    const std::vector probed{offered[0]->id, offered[1]->id};
+    options.allowedTargets = probed;
+    const auto assignWithReport = [&](double slowness) {
+        routing::TargetSignals signals;
+        signals.load = routing::LoadReport{};
+        signals.load->slots = 3;
+        signals.load->slowness = slowness;
+        router.recordSignals(*bad, signals, now, now);
+        const auto assigned = router.assign(now, options);
+        REQUIRE(core::ok(assigned));
+        return core::value(assigned).target->id;
+    };
+    CHECK(assignWithReport(50) != Bad);
+    CHECK(assignWithReport(1) == Bad);
+    // Without a report no request is risked.
+    options.allowedTargets = {};
+    now += 5s;
+    for (int i = 0; i < 4; ++i) {
+        const auto assigned = router.assign(now, options);
+        REQUIRE(core::ok(assigned));
+        CHECK(core::value(assigned).target->id != Bad);
+    }
+}
+
 TEST_CASE("at most half of the targets are ejected, and the others stay in use")
 {
     auto router = makeRouter(4);
