--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -81,7 +81,7 @@
     if (hasTrouble()) {
         deployment.controls[home].kill();
         RECORD("node %u is killed", home);
-        sleepFor(0.3);
+        sleepFor(0.15);
         deployment.controls[home].start();
         started = now();
         RECORD("node %u starts again", home);
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -20,8 +21,8 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 #include <sys/wait.h>
 #include <thread>
 #include <utility>
@@ -439,6 +440,8 @@
     {
         m_pid = ::fork();
         if (m_pid == 0) {
+            // Ends with the script, also if that is ended from outside.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(log, 1);
             ::dup2(log, 2);
@@ -499,14 +502,14 @@
 public:
     Folder()
     {
-        char name[] = "/tmp/review-XXXXXX";
-        m_path = ::mkdtemp(name);
+        auto name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+        m_path = ::mkdtemp(name.data());
     }
     ~Folder()
     {
-        const std::string keep = std::getenv("KEEP") == nullptr ? "" : std::getenv("KEEP");
-        if (keep.empty()) {
-            [[maybe_unused]] const int ignored = std::system(("rm -rf '" + m_path + "'").c_str());
+        if (std::getenv("KEEP") == nullptr) {
+            std::error_code ignored;
+            std::filesystem::remove_all(m_path, ignored);
         }
     }
     const std::string &path() const
