--- a/review/common/small.h
+++ b/review/common/small.h
@@ -60,15 +60,19 @@
     return servers;
 }
 
-/** Sends look-ups to all entry hosts in turn until it is destroyed. */
+/** Sends look-ups to all entry hosts in turn, except to those that have failed it, until it is destroyed. */
 class Lookups
 {
 public:
     Lookups(Deployment &deployment, double perSecond)
+        : m_hasFailed(deployment.entryCount())
     {
         m_thread = std::thread([this, &deployment, perSecond]() {
             std::vector<std::thread> calls;
             for (unsigned i = 0; !m_stopped; ++i) {
+                if (m_hasFailed[i % deployment.entryCount()]) {
+                    continue;
+                }
                 calls.emplace_back([this, &deployment, i]() {
                     const auto id = "look" + std::to_string(i);
                     const auto answer = call(deployment.frontAddress(i % deployment.entryCount()),
@@ -77,6 +81,9 @@
                                              "",
                                              2.5,
                                              {{"Host", "loans.example"}, {"X-Request-Id", id}, {"X-Timeout-Ms", "2000"}});
+                    if (answer.status() == 0) {
+                        m_hasFailed[i % deployment.entryCount()] = true;
+                    }
                     ++m_sent;
                     m_served += answer.status() == 200 ? 1 : 0;
                 });
@@ -102,6 +109,7 @@
     }
 
 private:
+    std::vector<std::atomic<bool>> m_hasFailed;
     std::atomic<bool> m_stopped{false};
     std::atomic<unsigned> m_sent{0};
     std::atomic<unsigned> m_served{0};
