Learn lost incarnations of targets again, and confirm removals only for the latest one

Cause: the removal named no incarnation, and the control host, restarted 1.2 s before, knew only an earlier one, which was withdrawn already; so it confirmed and recorded nothing. The other hosts knew the later one and had no message to say so. Ruled out by the logs: a withdrawal that is lost on its way (there is no target-withdrawn).

Now a peer without a position in the feed gets all targets, entry hosts report a record when the feed names an earlier incarnation, and a removal without an incarnation is refused with 503 while another host may know a later one. A host that gets its own records back keeps their leases again, which no host did before. Same cause elsewhere: stored targets are restored although the log holds the withdrawal of an earlier incarnation, and a withdrawal by a host that does not know the service takes it from the records of the hosts that do.

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -113,6 +113,7 @@
         if (!core::ok(listening)) {
             return listening;
         }
+        m_startTime = m_timers.now();
         updateFollowers();
         m_tickTimer = m_timers.every(TickPeriod, [this]() {
             tick();
@@ -243,7 +244,10 @@
                 m_membershipFeed.removePeer(host);
             }
         }
-        m_followers = std::move(followers);
+        {
+            const core::Lock lock(m_mutex);
+            m_followers = std::move(followers);
+        }
         m_membershipFeed.noteControlHostsChanged();
     }
 
@@ -268,8 +272,8 @@
                                                 m_timers,
                                                 m_membershipFeed,
                                                 {m_settings.id, m_settings.rpcListen, m_settings.domain},
-                                                [this](const targets::Target &target) {
-                                                    m_targets.record(target, membership::UpdateSource::Peer);
+                                                [this](const std::vector<targets::Target> &targets) {
+                                                    recordPeerTargets(targets);
                                                 },
                                                 [this](const core::HostId &silent) {
                                                     m_targets.adoptLeases(silent, m_timers.now() + targetLease());
@@ -279,6 +283,43 @@
         return follower;
     }
 
+    void recordPeerTargets(const std::vector<targets::Target> &targets)
+    {
+        for (const auto &target : targets) {
+            m_targets.record(target, membership::UpdateSource::Peer);
+        }
+        adoptOwnLeases();
+    }
+
+    /**
+     * Keeps the leases again that this host kept before a restart, of targets that other hosts have reported back to
+     * it: no other host would end them.
+     */
+    void adoptOwnLeases()
+    {
+        m_targets.adoptLeases(m_settings.id, m_timers.now() + targetLease());
+    }
+
+    /**
+     * Whether no other host knows a later incarnation of target @p id. After a restart, a later one may be unknown here
+     * until the peers have reported it, or until all targets have had the time to announce themselves again.
+     */
+    bool knowsLatestIncarnation(const core::TargetId &id) const
+    {
+        const auto now = m_timers.now();
+        const auto lease = targetLease();
+        if (m_targets.isAnnouncedHere(id, now)) {
+            return true;
+        }
+        const core::Lock lock(m_mutex);
+        if (m_followers.empty()) {
+            return now - m_startTime >= lease;
+        }
+        return std::all_of(m_followers.begin(), m_followers.end(), [now, lease](const auto &follower) {
+            return follower.second->isUpToDate(now, lease);
+        });
+    }
+
     void stopFollowers()
     {
         for (const auto &[host, follower] : m_followers) {
@@ -349,6 +390,9 @@
         dependencies.announce = [this](const targets::Target &target) {
             return m_targets.announce(target, m_timers.now() + targetLease());
         };
+        dependencies.knowsLatestIncarnation = [this](const core::TargetId &id) {
+            return knowsLatestIncarnation(id);
+        };
         dependencies.findTarget = [this](const core::TargetId &id) {
             return m_targets.find(id);
         };
@@ -590,14 +634,19 @@
 
     void applyReport(const rpc::ReportRequest &request)
     {
+        bool containsOwn = false;
         for (const auto &message : request.changes()) {
             const auto target = rpc::decode(message);
             if (core::ok(target)) {
                 m_targets.record(core::value(target));
+                containsOwn = containsOwn || core::value(target).origin == m_settings.id;
             } else {
                 core::log(core::LogLevel::Warning, "report-malformed", {{"error", describe(core::error(target))}});
             }
         }
+        if (containsOwn) {
+            adoptOwnLeases();
+        }
     }
 
     void tick()
@@ -640,6 +689,7 @@
     core::TimePoint m_nextJoin{};
     core::TimePoint m_nextUpdate{};
     std::vector<consensus::MemberId> m_followedVoters;
+    core::TimePoint m_startTime{};
     /** Whether this host has applied everything that was committed before a confirmation by a quorum. */
     std::atomic<bool> m_isStateConfirmed{false};
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
@@ -650,6 +700,7 @@
     std::unique_ptr<Replicator> m_replicator;
     std::unique_ptr<LeaderForwarder> m_leaderForwarder;
     std::unique_ptr<TargetStore> m_targetStore;
+    /** Changed only by the tick timer, with m_mutex locked. */
     std::map<core::HostId, std::shared_ptr<PeerFollower>> m_followers;
     std::vector<std::shared_ptr<http::Server>> m_httpServers;
     std::unique_ptr<rpc::ControlServer> m_rpcServer;
--- a/src/control/peerfollower.cpp
+++ b/src/control/peerfollower.cpp
@@ -43,6 +43,12 @@
     m_retryTimer.cancel();
 }
 
+bool PeerFollower::isUpToDate(core::TimePoint now, core::Duration lease) const
+{
+    const auto silence = now - m_lastReplyAt.load();
+    return (m_hasReply && silence <= FollowTimeout) || silence >= lease;
+}
+
 void PeerFollower::sendRequest()
 {
     if (m_stopped) {
@@ -71,12 +77,13 @@
     }
     const auto now = m_dependencies.timers.now();
     if (core::ok(reply)) {
-        m_lastReplyAt = now;
         applyReply(core::value(reply));
+        m_lastReplyAt = now;
+        m_hasReply = true;
         sendRequest();
         return;
     }
-    if (now - m_lastReplyAt > PeerTimeout) {
+    if (now - m_lastReplyAt.load() > PeerTimeout) {
         m_dependencies.membershipFeed.removePeer(m_peer);
         m_dependencies.onSilent(m_peer);
     }
@@ -86,12 +93,19 @@
 
 void PeerFollower::applyReply(const rpc::FollowReply &reply)
 {
+    std::vector<targets::Target> targets;
+    targets.reserve(static_cast<std::size_t>(reply.targets_size()));
     for (const auto &message : reply.targets()) {
-        const auto target = rpc::decode(message);
+        auto target = rpc::decode(message);
         if (core::ok(target)) {
-            m_dependencies.recordTarget(core::value(target));
+            targets.push_back(std::move(core::value(target)));
+        } else {
+            core::log(core::LogLevel::Warning, "peer-target-malformed", {{"error", describe(core::error(target))}});
         }
     }
+    if (!targets.empty()) {
+        m_dependencies.recordTargets(targets);
+    }
     m_dependencies.membershipFeed.updatePeerHosts(m_peer, rpc::decodeHosts(reply));
     m_feedId = reply.feed_id();
     m_feedPosition = reply.feed_position();
--- a/src/control/peerfollower.h
+++ b/src/control/peerfollower.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pimentoshed::control
 {
@@ -28,8 +29,8 @@
         membership::MembershipFeed &membershipFeed;
         /** This host, as it introduces itself to the peer. */
         membership::ControlHost self;
-        /** Called for each target in a reply of the peer. */
-        std::function<void(const targets::Target &)> recordTarget;
+        /** Called with the targets in a reply of the peer, if there are any. */
+        std::function<void(const std::vector<targets::Target> &)> recordTargets;
         /** Called after a failed call, if the peer has been silent for so long that its entry hosts were removed. */
         std::function<void(const core::HostId &)> onSilent;
     };
@@ -39,6 +40,12 @@
     void start();
     void stop();
 
+    /**
+     * Whether this host knows, apart from messages on their way, the targets that the peer knows and still serve: it is
+     * in contact with the peer, or has not been for @p lease, after which targets must have announced themselves again.
+     */
+    bool isUpToDate(core::TimePoint now, core::Duration lease) const;
+
 private:
     void sendRequest();
     void handleReply(const core::Result<rpc::FollowReply> &reply);
@@ -53,7 +60,9 @@
     /** One call is in progress at a time, so these members need no lock. */
     std::uint64_t m_feedId = 0;
     std::uint64_t m_feedPosition = 0;
-    core::TimePoint m_lastReplyAt;
+    std::atomic<bool> m_hasReply{false};
+    /** Until the first reply, when this object was made. */
+    std::atomic<core::TimePoint> m_lastReplyAt;
     core::RankedMutex m_mutex{core::LockRank::Connections};
     core::TimerSubscription m_retryTimer;
 };
--- a/src/control/targetregistry.cpp
+++ b/src/control/targetregistry.cpp
@@ -54,12 +54,14 @@
 {
     std::size_t restored = 0;
     for (auto target : stored) {
-        // The origin stays the same: if that host is alive and reports the target, it keeps the lease again.
-        if (m_table.find(target.id)) {
+        // The log may have restored the withdrawal of an earlier incarnation.
+        const auto known = m_table.find(target.id);
+        if (known && known->version.incarnation >= target.version.incarnation) {
             continue;
         }
+        // The origin stays the same: if that host is alive and reports the target, it keeps the lease again.
         target = m_dependencies.applyWithdrawal(target);
-        if (m_table.announce(target, leaseEnd) == targets::UpdateResult::Changed) {
+        if (m_table.restore(target, leaseEnd) == targets::UpdateResult::Changed) {
             m_dependencies.membershipFeed.updateTarget(target);
             ++restored;
         }
@@ -80,6 +82,11 @@
     m_table.adoptLeases(origin, leaseEnd);
 }
 
+bool TargetRegistry::isAnnouncedHere(const core::TargetId &id, core::TimePoint now) const
+{
+    return m_table.isAnnouncedHere(id, now);
+}
+
 std::optional<targets::Target> TargetRegistry::find(const core::TargetId &id) const
 {
     // Announcements that only raise the sequence number renew the lease and don't change the stored record.
--- a/src/control/targetregistry.h
+++ b/src/control/targetregistry.h
@@ -34,7 +34,10 @@
     /** Records a target that another host or the log has reported; @p source says where the record came from. */
     void record(const targets::Target &target, membership::UpdateSource source = membership::UpdateSource::Own);
 
-    /** Adds those of @p stored targets that are unknown, with a lease until @p leaseEnd. Returns how many. */
+    /**
+     * Adds those of @p stored targets of which no incarnation is known that is as new, with a lease until @p leaseEnd.
+     * Returns how many.
+     */
     std::size_t restore(const std::vector<targets::Target> &stored, core::TimePoint leaseEnd);
 
     /** Ends the leases that have expired by @p now, and reports their targets as gone. */
@@ -43,6 +46,9 @@
     /** Takes over, until @p leaseEnd, the leases that were kept by @p origin, a host that no longer replies. */
     void adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd);
 
+    /** Whether the latest known incarnation of target @p id announced itself to this host within a lease of @p now. */
+    bool isAnnouncedHere(const core::TargetId &id, core::TimePoint now) const;
+
     /** Returns the target, with the latest sequence number that it announced here. */
     std::optional<targets::Target> find(const core::TargetId &id) const;
 
--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -300,10 +300,11 @@
 
 void ControlFeedClient::updateTarget(const targets::Target &target)
 {
-    if (m_dependencies.targets.update(target) != targets::UpdateResult::Reasserted) {
-        return;
-    }
-    if (const auto known = m_dependencies.targets.find(target.id)) {
+    const auto result = m_dependencies.targets.update(target);
+    const auto known = m_dependencies.targets.find(target.id);
+    // A control host that has restarted may know a later incarnation only from this report.
+    const bool isOlderIncarnation = known && target.version.incarnation < known->version.incarnation;
+    if (known && (result == targets::UpdateResult::Reasserted || isOlderIncarnation)) {
         report(*known);
     }
 }
--- a/src/entry/controlfeedclient.h
+++ b/src/entry/controlfeedclient.h
@@ -88,8 +88,8 @@
      */
     bool applyUpdates(const rpc::FollowReply &reply);
     /**
-     * Stores @p target's record from the feed. If the record ends a lease that this host keeps, reports this host's
-     * record to the control host again.
+     * Stores @p target's record from the feed. If the record ends a lease that this host keeps, or is that of an
+     * earlier incarnation than this host's, reports this host's record to the control host.
      */
     void updateTarget(const targets::Target &target);
     /** Records that the call named by the reply was confirmed. */
--- a/src/membership/membershipfeed.cpp
+++ b/src/membership/membershipfeed.cpp
@@ -78,7 +78,7 @@
     update.position = m_position;
     for (auto entry = m_targetsByPosition.upper_bound(position); entry != m_targetsByPosition.end(); ++entry) {
         const auto &known = m_targets.at(entry->second);
-        if (subscriber == SubscriberKind::EntryHosts || known.source == UpdateSource::Own) {
+        if (subscriber == SubscriberKind::EntryHosts || known.source == UpdateSource::Own || position == 0) {
             update.targets.push_back(known.target);
         }
     }
--- a/src/membership/membershipfeed.h
+++ b/src/membership/membershipfeed.h
@@ -22,7 +22,10 @@
 enum class SubscriberKind : std::uint8_t {
     /** An entry host: gets the updates of all entry hosts, targets and control hosts. */
     EntryHosts,
-    /** Another control host: gets only the entry hosts and targets that report to this control host directly. */
+    /**
+     * Another control host: gets only the entry hosts and targets that report to this control host directly, and all
+     * targets at position 0, because it may have lost what it reported itself before a restart.
+     */
     Peers,
 };
 
--- a/src/targets/targettable.cpp
+++ b/src/targets/targettable.cpp
@@ -24,6 +24,15 @@
     return left == right;
 }
 
+/** Adds to @p withdrawal, which names only a target and its incarnation, what @p known says about that target. */
+void addDetails(Target &withdrawal, const Target &known)
+{
+    withdrawal.service = known.service;
+    withdrawal.domain = known.domain;
+    withdrawal.address = known.address;
+    withdrawal.slots = known.slots;
+}
+
 } // namespace
 
 TargetTable::TargetTable(ChangeHook onChange)
@@ -34,6 +43,22 @@
 UpdateResult TargetTable::announce(Target target, core::TimePoint leaseEnd)
 {
     const core::Lock lock(m_mutex);
+    const auto id = target.id;
+    const auto result = keepLease(std::move(target), leaseEnd);
+    if (result != UpdateResult::Stale) {
+        m_entries.at(id).announcedUntil = leaseEnd;
+    }
+    return result;
+}
+
+UpdateResult TargetTable::restore(const Target &target, core::TimePoint leaseEnd)
+{
+    const core::Lock lock(m_mutex);
+    return keepLease(target, leaseEnd);
+}
+
+UpdateResult TargetTable::keepLease(Target target, core::TimePoint leaseEnd)
+{
     const auto lease = target.condition == Condition::Gone ? std::nullopt : std::optional(leaseEnd);
     const auto found = m_entries.find(target.id);
     if (found == m_entries.end()) {
@@ -58,7 +83,7 @@
     return UpdateResult::Changed;
 }
 
-UpdateResult TargetTable::update(const Target &target)
+UpdateResult TargetTable::update(Target target)
 {
     const core::Lock lock(m_mutex);
     const auto found = m_entries.find(target.id);
@@ -67,6 +92,9 @@
         return UpdateResult::Changed;
     }
     auto &entry = found->second;
+    if (target.service.empty()) {
+        addDetails(target, entry.target);
+    }
     if (target.version < entry.target.version) {
         return UpdateResult::Stale;
     }
@@ -165,6 +193,13 @@
     return found == m_entries.end() ? std::nullopt : std::optional(found->second.lastAnnounced);
 }
 
+bool TargetTable::isAnnouncedHere(const core::TargetId &id, core::TimePoint now) const
+{
+    const core::Lock lock(m_mutex);
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && found->second.announcedUntil && now < *found->second.announcedUntil;
+}
+
 std::size_t TargetTable::size() const
 {
     const core::Lock lock(m_mutex);
@@ -177,7 +212,8 @@
         std::erase(m_byService[entry.target.service], target.id);
         m_byService[target.service].push_back(target.id);
     }
-    entry = Entry{target, leaseEnd, target.version};
+    const bool isSameIncarnation = entry.target.version.incarnation == target.version.incarnation;
+    entry = Entry{target, leaseEnd, target.version, isSameIncarnation ? entry.announcedUntil : std::nullopt};
     notify(target);
 }
 
--- a/src/targets/targettable.h
+++ b/src/targets/targettable.h
@@ -49,8 +49,11 @@
      */
     UpdateResult announce(Target target, core::TimePoint leaseEnd);
 
+    /** Records a target that this host has stored before a restart as announce() does, but not as an announcement. */
+    UpdateResult restore(const Target &target, core::TimePoint leaseEnd);
+
     /** Records a target as another host reported it. */
-    UpdateResult update(const Target &target);
+    UpdateResult update(Target target);
 
     /** Makes this host the keeper, until @p leaseEnd, of the leases that host @p origin kept. */
     void adoptLeases(const core::HostId &origin, core::TimePoint leaseEnd);
@@ -68,6 +71,8 @@
     std::optional<Target> find(const core::TargetId &id) const;
     /** Returns the version of the target's latest announcement; newer than in find() if it only renewed the lease. */
     std::optional<AnnouncementVersion> lastAnnouncedVersion(const core::TargetId &id) const;
+    /** Whether the latest known incarnation of target @p id announced itself to this host within a lease of @p now. */
+    bool isAnnouncedHere(const core::TargetId &id, core::TimePoint now) const;
     std::size_t size() const;
 
 private:
@@ -77,8 +82,12 @@
         std::optional<core::TimePoint> leaseEnd;
         /** Version of the latest announcement, which may only have renewed the lease. */
         AnnouncementVersion lastAnnounced;
+        /** End of the lease that the latest announcement to this host got, whatever was reported about it since. */
+        std::optional<core::TimePoint> announcedUntil{};
     };
 
+    /** Does the work of announce() and restore(). Requires m_mutex. */
+    UpdateResult keepLease(Target target, core::TimePoint leaseEnd);
     void replace(Entry &entry, const Target &target, std::optional<core::TimePoint> leaseEnd);
     void insert(const Target &target, std::optional<core::TimePoint> leaseEnd);
     void notify(const Target &target) const;
--- a/tests/control/targetstore.cpp
+++ b/tests/control/targetstore.cpp
@@ -143,6 +143,19 @@
     CHECK(host.registry.find(announced.id)->condition == Condition::Warm);
 }
 
+// Guards against a target that is lost at a restart because the log holds the withdrawal of an earlier incarnation.
+TEST_CASE("a stored target is restored although an earlier incarnation of it is known to be withdrawn")
+{
+    const TemporaryFolder folder;
+    save(folder.path(), {makeTarget("t1", Condition::Warm)});
+    ControlHost host(folder.path());
+    auto withdrawn = makeTarget("t1", Condition::Gone);
+    withdrawn.version = {6, 9, 0, true};
+    host.registry.record(withdrawn);
+    host.tick(Start, true);
+    CHECK(host.registry.find(withdrawn.id)->condition == Condition::Warm);
+}
+
 TEST_CASE("a file of targets that is damaged or ends early yields no wrong targets")
 {
     const TemporaryFolder folder;
--- a/tests/platform/announcement.cpp
+++ b/tests/platform/announcement.cpp
@@ -67,3 +67,11 @@
     CHECK_FALSE(core::ok(platform::readRemoval(Id, "", std::nullopt)));
     CHECK(core::value(platform::readRemoval(Id, R"({"born":18})", known)).version.incarnation == 18);
 }
+
+TEST_CASE("only a removal with a readable start of the target names an incarnation")
+{
+    CHECK(platform::namesIncarnation(R"({"born":18})"));
+    CHECK_FALSE(platform::namesIncarnation(""));
+    CHECK_FALSE(platform::namesIncarnation("[18]"));
+    CHECK_FALSE(platform::namesIncarnation(R"({"seq":18})"));
+}
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -56,12 +56,17 @@
     return path == "/health";
 }
 
-PlatformTarget::PlatformTarget(
-    std::string id, std::string address, core::Duration processingTime, TargetScript script, core::Duration probeTime)
+PlatformTarget::PlatformTarget(std::string id,
+                               std::string address,
+                               core::Duration processingTime,
+                               TargetScript script,
+                               core::Duration probeTime,
+                               std::uint64_t incarnation)
     : m_id(std::move(id))
     , m_address(std::move(address))
     , m_processingTime(processingTime)
     , m_probeTime(probeTime)
+    , m_incarnation(incarnation)
     , m_script(std::move(script))
     , m_pool(2)
     , m_timers(m_pool.context())
@@ -101,15 +106,28 @@
     request.target = "/instances/" + m_id;
     request.body =
         fmt::format(R"({{"service":"{}","address":"{}","zone":"ravne","version":"v1","slots":6,"state":"{}",)"
-                    R"("cold_left":"0ms","seq":{},"born":1700000000000}})",
+                    R"("cold_left":"0ms","seq":{},"born":{}}})",
                     Service,
                     m_address,
                     state,
-                    ++m_sequence);
+                    ++m_sequence,
+                    m_incarnation);
     const auto answered = http::fetch(control, request, std::chrono::seconds(2));
     return core::ok(answered) ? core::value(answered).status : 0;
 }
 
+void PlatformTarget::stopAnnouncing()
+{
+    m_renewal.cancel();
+}
+
+unsigned PlatformTarget::remove(const std::string &control)
+{
+    stopAnnouncing();
+    const auto answered = sendRequest(control, "/instances/" + m_id, "DELETE");
+    return core::ok(answered) ? core::value(answered).status : 0;
+}
+
 std::vector<ReceivedRequest> PlatformTarget::requests() const
 {
     return received(false);
@@ -209,6 +227,13 @@
     m_entries.at(number) = start("entry", fmt::format("entry-{}", number), FirstEntry + number);
 }
 
+void PlatformFleet::restartControl()
+{
+    m_control.signal(SIGKILL);
+    m_control.wait();
+    m_control = start("control", "control", 1);
+}
+
 std::string PlatformFleet::logFile(const std::string &name) const
 {
     return m_folder.path() / (name + ".log");
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -36,12 +36,16 @@
 class PlatformTarget
 {
 public:
+    /** Start of a target in Unix milliseconds; a later start under the same id has a higher one. */
+    static constexpr std::uint64_t FirstIncarnation = 1'700'000'000'000;
+
     /** Responds by @p script, to requests after @p processingTime and to load probes after @p probeTime. */
     PlatformTarget(std::string id,
                    std::string address,
                    core::Duration processingTime,
                    TargetScript script,
-                   core::Duration probeTime = {});
+                   core::Duration probeTime = {},
+                   std::uint64_t incarnation = FirstIncarnation);
     ~PlatformTarget();
     PlatformTarget(const PlatformTarget &) = delete;
     PlatformTarget &operator=(const PlatformTarget &) = delete;
@@ -52,6 +56,14 @@
      */
     unsigned announce(const std::string &control, const std::string &state = "ready");
 
+    void stopAnnouncing();
+
+    /**
+     * Stops the announcements and removes this target at the control host at @p control, without naming its
+     * incarnation. It goes on responding to requests. Returns the status of the response, or 0.
+     */
+    unsigned remove(const std::string &control);
+
     /** The requests received so far; without load probes. */
     std::vector<ReceivedRequest> requests() const;
     std::vector<ReceivedRequest> probes() const;
@@ -65,6 +77,7 @@
     const std::string m_address;
     const core::Duration m_processingTime;
     const core::Duration m_probeTime;
+    const std::uint64_t m_incarnation;
     const TargetScript m_script;
     mutable std::mutex m_mutex;
     std::vector<ReceivedRequest> m_received;
@@ -97,6 +110,8 @@
     Process &control();
     /** Kills entry host @p number and starts it again. */
     void restartEntry(unsigned number);
+    /** Kills the control host and starts it again. */
+    void restartControl();
 
     /** Waits until every entry host sends requests to some target. Returns whether that happened within 5 s. */
     bool waitUntilServing() const;
--- a/tests/targets/targettable.cpp
+++ b/tests/targets/targettable.cpp
@@ -119,3 +119,24 @@
     table.releaseLease(target.id, core::HostId("e2"));
     CHECK(table.expire(Start + 3s).size() == 1);
 }
+
+// Guards against a withdrawal that routing ignores, because the host that received it did not know the target's
+// service.
+TEST_CASE("TargetTable adds the known details of a target to a withdrawal that names only its incarnation")
+{
+    std::vector<Target> changes;
+    TargetTable table([&changes](const Target &target) {
+        changes.push_back(target);
+    });
+    const auto announced = makeTarget(2, 5, Condition::Warm);
+    table.announce(announced, Start + 1s);
+    Target withdrawal;
+    withdrawal.id = announced.id;
+    withdrawal.version = {2, 1, 0, true};
+    withdrawal.condition = Condition::Gone;
+    CHECK(table.update(withdrawal) == UpdateResult::Changed);
+    CHECK(changes.back().service == announced.service);
+    CHECK(changes.back().address == announced.address);
+    CHECK(changes.back().condition == Condition::Gone);
+    CHECK(table.ofService(announced.service).empty());
+}
