Notice that a caller has left while its request waits, whatever the framing of its body

Cause: the end of a connection was looked for only once the whole body was received, and only bodies with a declared length of up to 64 KiB were received before a request waits for a target. Ruled out: that nothing looks at all; orders with a length were dropped.

Each body is now read ahead up to the 64 KiB that are kept of it, and the end of a connection behind unread bytes is looked up with poll. Same cause elsewhere: the caller was not watched while the connection to a target was opened, and not checked after load probes; now it is, until the request has been sent.

--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -277,7 +277,10 @@
         return deadline - route.deadline;
     }
 
-    /** Reads a small body before a target is chosen, so that a slow caller doesn't occupy one. */
+    /**
+     * Reads a small body, or the start of a long one, before a target is chosen, so that a slow caller doesn't occupy
+     * one, and one that leaves while its request waits is noticed.
+     */
     core::Status prefetchBody(http::Exchange &exchange, core::TimePoint deadline) const
     {
         if (!exchange.body().present()) {
@@ -407,7 +410,7 @@
         auto scheduled = m_dependencies.scheduler.wait(
             request.exchange, service, queueDeadline(request, processingTime), processingTime);
         while (core::ok(scheduled)) {
-            auto assignment = hasCallerLeft(request.exchange)
+            auto assignment = request.exchange.hasCallerLeft()
                                   ? core::Result<routing::Assignment>(core::Error{ErrorCode::CallerTooSlow, {}})
                                   : assign(request, connection);
             if (core::ok(assignment) || core::error(assignment).code != ErrorCode::NoTarget) {
@@ -480,13 +483,7 @@
                                         std::chrono::duration_cast<boost::asio::steady_timer::duration>(duration));
         boost::system::error_code ignored;
         timer.async_wait(exchange.yield()[ignored]);
-        return !hasCallerLeft(exchange);
-    }
-
-    /** Whether the caller has closed its connection after it sent the whole request. */
-    static bool hasCallerLeft(http::Exchange &exchange)
-    {
-        return exchange.body().received() && exchange.readAvailable() == http::CallerConnectionState::Closed;
+        return !exchange.hasCallerLeft();
     }
 
     /**
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
 #include <chrono>
+#include <poll.h>
 
 namespace pimentoshed::http
 {
@@ -129,6 +130,18 @@
     return failure == boost::asio::error::would_block ? CallerConnectionState::Open : CallerConnectionState::Closed;
 }
 
+bool Exchange::hasCallerLeft()
+{
+    const auto state = m_body.received() ? readAvailable() : CallerConnectionState::BufferFull;
+    if (state != CallerConnectionState::BufferFull) {
+        return state == CallerConnectionState::Closed;
+    }
+    // A read would return the unread bytes first.
+    pollfd connection{m_stream.socket().native_handle(), POLLRDHUP, 0};
+    constexpr auto Ended = POLLRDHUP | POLLHUP | POLLERR;
+    return poll(&connection, 1, 0) > 0 && (connection.revents & Ended) != 0;
+}
+
 void Exchange::send(const Reply &reply)
 {
     AnswerHead head;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -74,6 +74,12 @@
      */
     CallerConnectionState readAvailable();
 
+    /**
+     * Whether the caller has closed its connection, or its sending half. Behind bytes that were not read this shows
+     * only once all of them have arrived, so not for a long body that the connection's window keeps at the caller.
+     */
+    bool hasCallerLeft();
+
     /** Writes the whole @p reply. */
     void send(const Reply &reply);
 
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -32,8 +32,9 @@
                     ConnectionPool &pool,
                     const RelayOptions &options)
 {
-    const auto length = exchange.body().length();
-    if (length && *length > options.maxRequestBytes) {
+    const auto kept = exchange.body().keptBody();
+    const auto length = exchange.body().length().value_or(kept ? kept->size() : 0);
+    if (length > options.maxRequestBytes) {
         RelayResult refused;
         refused.outcome = {requests::RunState::NotRun, core::Error{core::ErrorCode::RequestTooLarge, {}}};
         return refused;
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -82,13 +82,15 @@
         return makeResult();
     }
     m_deadline.arm(timeUntil(m_options.deadline));
-    if (connect() && sendHead()) {
+    watchCaller();
+    if (connect() && isCallerConnected() && sendHead()) {
         startUpload();
         if (readAnswerHead()) {
             relayAnswer();
         }
         stopUpload();
     }
+    unwatchCaller();
     m_deadline.disarm();
     return makeResult();
 }
@@ -163,6 +165,15 @@
     return bytes;
 }
 
+bool RelayAttempt::isCallerConnected()
+{
+    if (m_exchange.hasCallerLeft()) {
+        m_callerLeft = true;
+        abort(ErrorCode::CallerTooSlow, "the caller closed its connection");
+    }
+    return !m_failure;
+}
+
 bool RelayAttempt::sendHead()
 {
     std::size_t headBytes = 0;
@@ -452,7 +463,8 @@
 
 void RelayAttempt::watchCaller()
 {
-    if (m_failure || m_sentToCaller || m_stage > AttemptStage::HeadSent || !m_exchange.body().received()) {
+    const bool isWatched = m_watching && *m_watching;
+    if (isWatched || m_failure || m_sentToCaller || m_stage > AttemptStage::HeadSent || !m_exchange.body().received()) {
         return;
     }
     m_watching = std::make_shared<bool>(true);
--- a/src/http/relayattempt.h
+++ b/src/http/relayattempt.h
@@ -51,6 +51,8 @@
      * length of the head.
      */
     std::string requestBytes(std::size_t &headBytes);
+    /** Checks, right before a target gets the request, that the caller still waits for the response. */
+    bool isCallerConnected();
     bool sendHead();
     bool sendToTarget(const Yield &yield, const std::string &bytes);
     void startUpload();
--- a/src/http/requestbody.cpp
+++ b/src/http/requestbody.cpp
@@ -1,5 +1,6 @@
 #include "http/requestbody.h"
 
+#include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -59,7 +60,12 @@
     if (m_position < m_kept.size()) {
         return nextKept();
     }
-    m_piece.resize(PieceBytes);
+    return read(yield, PieceBytes);
+}
+
+core::Result<std::string_view> RequestBody::read(const Yield &yield, std::size_t limit)
+{
+    m_piece.resize(limit);
     while (!m_parser.is_done()) {
         auto &body = m_parser.get().body();
         body.data = m_piece.data();
@@ -82,11 +88,8 @@
 
 core::Status RequestBody::prefetch(const Yield &yield)
 {
-    if (!m_length || *m_length > MaxKeptBytes) {
-        return std::monostate{};
-    }
-    while (!received()) {
-        const auto piece = next(yield);
+    while (!received() && m_kept.size() < MaxKeptBytes) {
+        const auto piece = read(yield, std::min(PieceBytes, MaxKeptBytes - m_kept.size()));
         if (!core::ok(piece)) {
             return core::error(piece);
         }
--- a/src/http/requestbody.h
+++ b/src/http/requestbody.h
@@ -41,8 +41,8 @@
     core::Result<std::string_view> next(const Yield &yield);
 
     /**
-     * Reads a body whose declared length is small enough to be kept, so that it can be sent without waiting for the
-     * caller. Does nothing for any other body. Error: RequestMalformed.
+     * Reads the body, whatever its framing, until it is complete or as much has been read as is kept. A small body can
+     * then be sent without waiting for the caller. Error: RequestMalformed.
      */
     core::Status prefetch(const Yield &yield);
 
@@ -55,6 +55,8 @@
     void rewind();
 
 private:
+    /** Reads the next piece of at most @p limit bytes from the caller. */
+    core::Result<std::string_view> read(const Yield &yield, std::size_t limit);
     std::string_view nextKept();
     void keep(std::string_view piece);
 
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -14,7 +14,6 @@
 {
 
 constexpr const char *HostName = "loans.example";
-constexpr const char *Service = "loans";
 constexpr unsigned ControlPort = 8544;
 constexpr unsigned CallerPort = 8548;
 constexpr unsigned ReadyPort = 8542;
@@ -23,16 +22,17 @@
 constexpr unsigned FirstTarget = 100;
 constexpr auto StartLimit = std::chrono::seconds(10);
 
-std::string configuration(std::chrono::milliseconds timeout)
+/** The configuration @p version, with routes to @p service only. */
+std::string configuration(std::chrono::milliseconds timeout, unsigned version, const std::string &service)
 {
-    constexpr auto Format = R"({{"version":"00000001","base_version":"00000000",
+    constexpr auto Format = R"({{"version":"{1:08x}","base_version":"{2:08x}",
     "routes":{{"reads":{{"hostname":"loans.example","path_prefix":"/a/","kind":"safe","timeout":"{0}ms","slo":"400ms",
-                       "priority":0,"service":"loans","attempts":2}},
+                       "priority":0,"service":"{3}","attempts":2}},
               "writes":{{"hostname":"loans.example","path_prefix":"/b/","kind":"unsafe","timeout":"{0}ms",
-                        "slo":"400ms","priority":0,"service":"loans","attempts":2}}}},
-    "services":{{"loans":{{"health_path":"/health","max_conns":260,"cold":"3s","cold_per_s":20.0}}}},
-    "limits":{{"max_header_bytes":16384,"max_body_bytes":65536}}}})";
-    return fmt::format(Format, timeout.count());
+                        "slo":"400ms","priority":0,"service":"{3}","attempts":2}}}},
+    "services":{{"{3}":{{"health_path":"/health","max_conns":260,"cold":"3s","cold_per_s":20.0}}}},
+    "limits":{{"max_header_bytes":16384,"max_body_bytes":1048576}}}})";
+    return fmt::format(Format, timeout.count(), version, version - 1, service);
 }
 
 bool hasHeader(const http::Reply &reply, const std::string &name)
@@ -90,6 +90,11 @@
     m_pool.stop();
 }
 
+void PlatformTarget::setService(std::string service)
+{
+    m_service = std::move(service);
+}
+
 unsigned PlatformTarget::announce(const std::string &control, const std::string &state)
 {
     m_renewal.cancel();
@@ -107,7 +112,7 @@
     request.body =
         fmt::format(R"({{"service":"{}","address":"{}","zone":"ravne","version":"v1","slots":6,"state":"{}",)"
                     R"("cold_left":"0ms","seq":{},"born":{}}})",
-                    Service,
+                    m_service,
                     m_address,
                     state,
                     ++m_sequence,
@@ -183,8 +188,7 @@
         m_entries.push_back(start("entry", fmt::format("entry-{}", i), FirstEntry + i));
     }
     const auto isConfigured = [this]() {
-        const auto answer = sendRequest(controlAddress(), "/config", "PUT", configuration(m_timeout));
-        return core::ok(answer) && core::value(answer).status == 200;
+        return configure(1, PlatformTarget::DefaultService) == 200;
     };
     const auto areReady = [this]() {
         for (unsigned i = 0; i < m_entries.size(); ++i) {
@@ -234,6 +238,12 @@
     m_control = start("control", "control", 1);
 }
 
+unsigned PlatformFleet::configure(unsigned version, const std::string &service) const
+{
+    const auto answer = sendRequest(controlAddress(), "/config", "PUT", configuration(m_timeout, version, service));
+    return core::ok(answer) ? core::value(answer).status : 0;
+}
+
 std::string PlatformFleet::logFile(const std::string &name) const
 {
     return m_folder.path() / (name + ".log");
@@ -309,9 +319,11 @@
     return send(entry, method, id, m_timeout);
 }
 
-core::Result<http::ClientAnswer> PlatformFleet::lateRequest(unsigned entry, std::chrono::milliseconds timeLeft) const
+core::Result<http::ClientAnswer> PlatformFleet::lateRequest(unsigned entry,
+                                                            std::chrono::milliseconds timeLeft,
+                                                            const std::string &method) const
 {
-    return send(entry, "GET", fmt::format("r{}", ++m_nextRequest), timeLeft);
+    return send(entry, method, fmt::format("r{}", ++m_nextRequest), timeLeft);
 }
 
 core::Result<http::ClientAnswer> PlatformFleet::send(unsigned entry,
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -38,6 +38,7 @@
 public:
     /** Start of a target in Unix milliseconds; a later start under the same id has a higher one. */
     static constexpr std::uint64_t FirstIncarnation = 1'700'000'000'000;
+    static constexpr const char *DefaultService = "loans";
 
     /** Responds by @p script, to requests after @p processingTime and to load probes after @p probeTime. */
     PlatformTarget(std::string id,
@@ -50,6 +51,9 @@
     PlatformTarget(const PlatformTarget &) = delete;
     PlatformTarget &operator=(const PlatformTarget &) = delete;
 
+    /** Sets the service that this target announces from now on. */
+    void setService(std::string service);
+
     /**
      * Announces this target to the control host at @p control, and again every second until it is destroyed or its
      * state changes. Returns the status of the response, or 0.
@@ -78,6 +82,7 @@
     const core::Duration m_processingTime;
     const core::Duration m_probeTime;
     const std::uint64_t m_incarnation;
+    std::string m_service = DefaultService;
     const TargetScript m_script;
     mutable std::mutex m_mutex;
     std::vector<ReceivedRequest> m_received;
@@ -113,6 +118,12 @@
     /** Kills the control host and starts it again. */
     void restartControl();
 
+    /**
+     * Applies the next @p version of the configuration, in which all routes lead to @p service and no other service is
+     * listed. Returns the status of the response, or 0.
+     */
+    unsigned configure(unsigned version, const std::string &service) const;
+
     /** Waits until every entry host sends requests to some target. Returns whether that happened within 5 s. */
     bool waitUntilServing() const;
 
@@ -120,8 +131,10 @@
     core::Result<http::ClientAnswer> request(unsigned entry, const std::string &method = "GET") const;
     /** The same with the request id @p id. */
     core::Result<http::ClientAnswer> request(unsigned entry, const std::string &method, const std::string &id) const;
-    /** A read whose caller has only @p timeLeft left, as after earlier attempts. */
-    core::Result<http::ClientAnswer> lateRequest(unsigned entry, std::chrono::milliseconds timeLeft) const;
+    /** A request whose caller has only @p timeLeft left, as after earlier attempts. */
+    core::Result<http::ClientAnswer> lateRequest(unsigned entry,
+                                                 std::chrono::milliseconds timeLeft,
+                                                 const std::string &method = "GET") const;
 
     /**
      * Sends @p perSecond requests a second for @p length, spread over the entry hosts, each on a connection and thread
