Let waiting requests follow a change of the configuration

Cause: a request kept the route and service with which it arrived, while router and queue already served the next configuration, and "no such service" was sent as the answer for a path without a route. Ruled out by the log: a missing route (the refusals name the service).

A request now looks its route up again whenever the revision has changed, before each assignment; 404 is decided by the configuration alone. Same cause elsewhere: requests in the queue of a dropped service got 503 and now follow as well.

--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -62,6 +62,8 @@
 constexpr core::Duration MaxStartWait = std::chrono::milliseconds(500);
 constexpr int StartWaitDivisor = 4;
 constexpr core::Duration StartWaitStep = std::chrono::milliseconds(10);
+/** Pause of a request whose service was removed while another configuration is being adopted. */
+constexpr core::Duration AdoptionPause = std::chrono::milliseconds(5);
 /** How long a request body may take to arrive before a target is chosen. */
 constexpr core::Duration BodyTimeout = std::chrono::seconds(10);
 
@@ -119,7 +121,7 @@
         }
         telemetry::CompletedRequest completed;
         const auto started = m_dependencies.timers.now();
-        serve(exchange, *core::value(active), completed);
+        serve(exchange, core::value(active), completed);
         completed.duration = m_dependencies.timers.now() - started;
         m_dependencies.onRequestEnd(completed);
     }
@@ -131,11 +133,15 @@
         Idle,
     };
 
+    using ConfigurationRef = std::shared_ptr<const changes::ActiveConfiguration>;
+
     /** A request in progress. */
     struct ActiveRequest {
         http::Exchange &exchange;
-        const configuration::Route &route;
-        const configuration::Service &service;
+        /** The configuration that the request follows, and its route and service there. */
+        ConfigurationRef active{};
+        const configuration::Route *route = nullptr;
+        const configuration::Service *service = nullptr;
         http::RelayOptions relayOptions{};
         core::TimePoint arrival{};
         /** When the caller began to wait, earlier attempts of the caller included. */
@@ -188,31 +194,20 @@
         return http::jsonReply(status::ok, {{"keep_ms", lifetimeMs}, {"addresses", chosen}});
     }
 
-    void serve(http::Exchange &exchange,
-               const changes::ActiveConfiguration &active,
-               telemetry::CompletedRequest &completed) const
+    void serve(http::Exchange &exchange, const ConfigurationRef &active, telemetry::CompletedRequest &completed) const
     {
         const auto failed = [&](core::Error error) {
             completed.failure = error.code;
             refuse(exchange, {RunState::NotRun, std::move(error)});
         };
-        const auto &configuration = *active.configuration;
-        const auto *route = configuration::findRoute(configuration, hostName(exchange), exchange.path());
-        const auto *service =
-            route == nullptr ? nullptr : configuration::findService(configuration, chooseService(*route));
-        if (service == nullptr) {
-            failed({ErrorCode::NoSuchService, std::string(exchange.path())});
+        ActiveRequest request{exchange};
+        request.arrival = m_dependencies.timers.now();
+        if (const auto found = follow(request, active); !core::ok(found)) {
+            failed(core::error(found));
             return;
         }
-        completed.service = service->name.str();
-        const bool needsRequestKey = route->idempotency == configuration::Idempotency::ByMethod;
-        const bool idempotent = configuration::isIdempotent(*route, *service, exchange.method());
-        if (needsRequestKey && !idempotent && exchange.header(service->requestKeyHeader).empty()) {
-            failed({ErrorCode::RequestKeyMissing, service->requestKeyHeader});
-            return;
-        }
-        const auto arrival = m_dependencies.timers.now();
-        const auto deadline = deadlineOf(exchange, *route);
+        completed.service = request.service->name.str();
+        const auto deadline = deadlineOf(exchange, *request.route);
         if (!core::ok(deadline)) {
             failed(core::error(deadline));
             return;
@@ -222,18 +217,52 @@
             failed(core::error(body));
             return;
         }
-        ActiveRequest request{exchange, *route, *service};
-        request.arrival = arrival;
-        request.waitStart = waitStartOf(*route, core::value(deadline));
+        request.waitStart = waitStartOf(*request.route, core::value(deadline));
         request.relayOptions.deadline = core::value(deadline);
-        request.relayOptions.maxRequestBytes = service->maxRequestBytes;
-        request.relayOptions.shedIsNotRun = service->shedIsNotRun;
-        request.relayOptions.idempotent = idempotent;
         request.relayOptions.answerBufferBytes = m_dependencies.options.answerBufferBytes;
         request.relayOptions.protocolHooks = &m_dependencies.protocolHooks;
         runAttempts(request, completed);
     }
 
+    /**
+     * Makes @p request follow the configuration @p active: finds its route there, and picks a service unless the route
+     * still leads to the one it has. Errors: NoSuchService, RequestKeyMissing.
+     */
+    core::Status follow(ActiveRequest &request, const ConfigurationRef &active) const
+    {
+        const auto &configuration = *active->configuration;
+        const auto &exchange = request.exchange;
+        const auto *route = configuration::findRoute(configuration, hostName(exchange), exchange.path());
+        if (route == nullptr) {
+            return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
+        }
+        const bool keepsService = request.service != nullptr && leadsTo(*route, request.service->name);
+        const auto *service =
+            configuration::findService(configuration, keepsService ? request.service->name : chooseService(*route));
+        if (service == nullptr) {
+            return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
+        }
+        const bool needsRequestKey = route->idempotency == configuration::Idempotency::ByMethod;
+        const bool idempotent = configuration::isIdempotent(*route, *service, exchange.method());
+        if (needsRequestKey && !idempotent && exchange.header(service->requestKeyHeader).empty()) {
+            return core::Error{ErrorCode::RequestKeyMissing, service->requestKeyHeader};
+        }
+        request.active = active;
+        request.route = route;
+        request.service = service;
+        request.relayOptions.maxRequestBytes = service->maxRequestBytes;
+        request.relayOptions.shedIsNotRun = service->shedIsNotRun;
+        request.relayOptions.idempotent = idempotent;
+        return std::monostate{};
+    }
+
+    static bool leadsTo(const configuration::Route &route, const core::ServiceName &service)
+    {
+        return std::any_of(route.shares.begin(), route.shares.end(), [&service](const auto &share) {
+            return share.service == service && share.weight > 0;
+        });
+    }
+
     /** The request's Host header without a port. */
     static std::string_view hostName(const http::Exchange &exchange)
     {
@@ -300,11 +329,12 @@
     /** Makes attempts until one of them answers the caller or no further one is allowed. */
     void runAttempts(ActiveRequest &request, telemetry::CompletedRequest &completed) const
     {
-        m_dependencies.onFirstAttempt(request.service);
+        m_dependencies.onFirstAttempt(*request.service);
         while (true) {
             std::unique_ptr<http::TargetConnection> connection;
             const auto assignmentStart = m_dependencies.timers.now();
             const auto assignment = assignOrWait(request, connection);
+            completed.service = request.service->name.str();
             request.assignmentTime += m_dependencies.timers.now() - assignmentStart;
             if (!core::ok(assignment)) {
                 if (core::error(assignment).code == ErrorCode::CallerTooSlow) {
@@ -317,7 +347,7 @@
                     request.outcome = {RunState::NotRun, core::error(assignment)};
                 }
                 logRefusal(request);
-                refuse(request.exchange, request.outcome, &request.service.name);
+                refuse(request.exchange, request.outcome, &request.service->name);
                 return;
             }
             const auto result = attempt(request, core::value(assignment), std::move(connection));
@@ -350,11 +380,11 @@
 
     bool mayRetry(const ActiveRequest &request) const
     {
-        const requests::FailedAttempt failed{request.service,
+        const requests::FailedAttempt failed{*request.service,
                                              request.relayOptions.idempotent,
                                              request.outcome.run,
                                              request.attemptsSent,
-                                             request.route.maxAttempts,
+                                             request.route->maxAttempts,
                                              request.relayOptions.deadline - m_dependencies.timers.now()};
         // If no target has received the request, another attempt isn't a retry for them: no retry budget is used.
         return request.attemptsSent == 0 ? requests::canRetry(failed) : m_dependencies.mayRetry(failed);
@@ -368,14 +398,14 @@
         options.address = assignment.target->address;
         options.target = assignment.target->id;
         options.passServerErrors =
-            !request.relayOptions.idempotent || request.attemptsSent + 1 >= request.route.maxAttempts;
+            !request.relayOptions.idempotent || request.attemptsSent + 1 >= request.route->maxAttempts;
         const auto started = m_dependencies.timers.now();
         auto result = connection
                           ? http::relayOn(std::move(connection), request.exchange, m_dependencies.connections, options)
                           : http::relay(request.exchange, m_dependencies.connections, options);
         const auto ended = m_dependencies.timers.now();
         m_dependencies.router.release(assignment, {attemptOutcome(result), ended - started, result.signals}, ended);
-        m_dependencies.scheduler.notifyCapacity(request.service.name);
+        m_dependencies.scheduler.notifyCapacity(request.service->name);
         if (result.outcome.failure) {
             logFailure(request, *assignment.target, result);
         }
@@ -383,13 +413,50 @@
     }
 
     /**
-     * Assigns a target to @p request, at once or after it has been queued and scheduled. Error CallerTooSlow if the
-     * caller has closed its connection meanwhile.
+     * Assigns a target to @p request, at once or after it has waited, by the configuration that is current then. Error
+     * CallerTooSlow if the caller has closed its connection meanwhile.
      */
     core::Result<routing::Assignment> assignOrWait(ActiveRequest &request,
                                                    std::unique_ptr<http::TargetConnection> &connection) const
     {
-        const auto &service = request.service.name;
+        while (true) {
+            const auto now = m_dependencies.timers.now();
+            const auto active = m_dependencies.view.current(now);
+            if (!core::ok(active)) {
+                return core::error(active);
+            }
+            if (core::value(active)->revision != request.active->revision) {
+                if (const auto followed = follow(request, core::value(active)); !core::ok(followed)) {
+                    return core::error(followed);
+                }
+            }
+            auto assignment = assignInService(request, connection);
+            const bool isServiceGone =
+                !core::ok(assignment) && core::error(assignment).code == ErrorCode::NoSuchService;
+            if (!isServiceGone) {
+                return assignment;
+            }
+            if (m_dependencies.view.revision() != request.active->revision) {
+                continue;
+            }
+            // The request's configuration has the service, so another one is being adopted.
+            if (now + AdoptionPause >= request.relayOptions.deadline) {
+                return core::Error{ErrorCode::DeadlinePassed, "the service was removed from the configuration"};
+            }
+            if (!waitFor(request.exchange, AdoptionPause)) {
+                return core::Error{ErrorCode::CallerTooSlow, {}};
+            }
+        }
+    }
+
+    /**
+     * Assigns one of the targets of the request's service. Error NoSuchService if this host no longer has the service,
+     * or if the configuration has changed.
+     */
+    core::Result<routing::Assignment> assignInService(ActiveRequest &request,
+                                                      std::unique_ptr<http::TargetConnection> &connection) const
+    {
+        const auto &service = request.service->name;
         if (isLate(request, m_dependencies.router.usualProcessingTime(service), m_dependencies.timers.now())) {
             return assignLate(request, connection);
         }
@@ -429,7 +496,7 @@
     core::Result<routing::Assignment> assignLate(ActiveRequest &request,
                                                  std::unique_ptr<http::TargetConnection> &connection) const
     {
-        const auto &service = request.service.name;
+        const auto &service = request.service->name;
         const auto started = m_dependencies.timers.now();
         const auto patienceEnd = started + (request.relayOptions.deadline - started) / LatePatienceDivisor;
         const auto pausedUntil = m_dependencies.router.pausedUntil(service, started);
@@ -469,7 +536,7 @@
                                             request.arrival,
                                             m_dependencies.timers.now(),
                                             request.relayOptions.deadline,
-                                            m_dependencies.router.usualProcessingTime(request.service.name)};
+                                            m_dependencies.router.usualProcessingTime(request.service->name)};
         if (requests::canEndBefore(*stop, send)) {
             return std::monostate{};
         }
@@ -493,8 +560,8 @@
     static core::Duration timeLeft(const ActiveRequest &request, core::Duration processingTime, core::TimePoint now)
     {
         const bool late = isLate(request, processingTime, now);
-        const bool useObjective = request.route.latencyObjective > core::Duration{} && !late;
-        return std::max(useObjective ? request.waitStart + request.route.latencyObjective - now
+        const bool useObjective = request.route->latencyObjective > core::Duration{} && !late;
+        return std::max(useObjective ? request.waitStart + request.route->latencyObjective - now
                                      : request.relayOptions.deadline - now,
                         core::Duration{1});
     }
@@ -508,20 +575,20 @@
         if (!isObjectiveReachable(request, processingTime)) {
             return true;
         }
-        return now - request.waitStart >= (request.route.latencyObjective - processingTime) / LocalWaitDivisor;
+        return now - request.waitStart >= (request.route->latencyObjective - processingTime) / LocalWaitDivisor;
     }
 
     /** Whether @p request could meet its objective in a processing time of @p processingTime if it never waited. */
     static bool isObjectiveReachable(const ActiveRequest &request, core::Duration processingTime)
     {
-        return request.route.latencyObjective > core::Duration{} && processingTime < request.route.latencyObjective;
+        return request.route->latencyObjective > core::Duration{} && processingTime < request.route->latencyObjective;
     }
 
     /** Whether @p request can't meet its objective any more. */
     static bool isLate(const ActiveRequest &request, core::Duration processingTime, core::TimePoint now)
     {
         return isObjectiveReachable(request, processingTime)
-               && now + processingTime > request.waitStart + request.route.latencyObjective;
+               && now + processingTime > request.waitStart + request.route->latencyObjective;
     }
 
     /**
@@ -531,7 +598,7 @@
     static core::TimePoint queueDeadline(const ActiveRequest &request, core::Duration processingTime)
     {
         return isObjectiveReachable(request, processingTime)
-                   ? std::min(request.relayOptions.deadline, request.waitStart + request.route.latencyObjective)
+                   ? std::min(request.relayOptions.deadline, request.waitStart + request.route->latencyObjective)
                    : request.relayOptions.deadline;
     }
 
@@ -546,8 +613,10 @@
         const auto now = m_dependencies.timers.now();
         if (const auto active = m_dependencies.view.current(now); !core::ok(active)) {
             return core::error(active);
+        } else if (core::value(active)->revision != request.active->revision) {
+            return core::Error{ErrorCode::NoSuchService, "the configuration has changed"};
         }
-        const auto processingTime = m_dependencies.router.usualProcessingTime(request.service.name);
+        const auto processingTime = m_dependencies.router.usualProcessingTime(request.service->name);
         if (const auto stop = checkStop(request); !core::ok(stop)) {
             return core::error(stop);
         }
@@ -556,7 +625,7 @@
         options.objective = timeLeft(request, processingTime, now);
         options.localOnly = !mayUseRemoteDomains(request, processingTime, now);
         options.idleOnly = acceptable == AcceptableTargets::Idle;
-        options.probationNeedsReport = probesTargets(request.service);
+        options.probationNeedsReport = probesTargets(*request.service);
         auto probed = probeTargets(request, options);
         // Only targets that answered a probe are eligible: the load that the others last reported may be out of date.
         const auto responding = respondingTargets(probed);
@@ -564,7 +633,7 @@
         request.probedTargets = probed.size();
         request.respondingTargets = responding.size();
         request.hasSurveyed = true;
-        auto assignment = m_dependencies.router.assign(request.service.name, m_dependencies.timers.now(), options);
+        auto assignment = m_dependencies.router.assign(request.service->name, m_dependencies.timers.now(), options);
         for (auto &each : probed) {
             if (!each.probe.connection) {
                 continue;
@@ -609,7 +678,7 @@
     std::vector<ProbedTarget> probeTargets(const ActiveRequest &request, const routing::AssignOptions &options) const
     {
         std::vector<ProbedTarget> probed;
-        if (!probesTargets(request.service)) {
+        if (!probesTargets(*request.service)) {
             return probed;
         }
         std::vector<core::TargetId> excluded(options.excludedTargets.begin(), options.excludedTargets.end());
@@ -650,7 +719,8 @@
         respondingOnly.allowedTargets = responding;
         respondingOnly.idleOnly = options.idleOnly || probed.size() < m_dependencies.options.probesPerRound;
         return !responding.empty()
-               && !m_dependencies.router.shortlist(request.service.name, m_dependencies.timers.now(), respondingOnly, 1)
+               && !m_dependencies.router
+                       .shortlist(request.service->name, m_dependencies.timers.now(), respondingOnly, 1)
                        .empty();
     }
 
@@ -667,7 +737,7 @@
                                     std::size_t count) const
     {
         const auto chosen =
-            m_dependencies.router.shortlist(request.service.name, m_dependencies.timers.now(), options, count);
+            m_dependencies.router.shortlist(request.service->name, m_dependencies.timers.now(), options, count);
         if (chosen.empty()) {
             return {};
         }
@@ -681,7 +751,7 @@
             http::probeLoad(request.exchange,
                             m_dependencies.connections,
                             endpoints,
-                            {request.service.healthPath, probeTimeout(request.route), m_dependencies.protocolHooks});
+                            {request.service->healthPath, probeTimeout(*request.route), m_dependencies.protocolHooks});
         const auto now = m_dependencies.timers.now();
         std::vector<ProbedTarget> probed;
         probed.reserve(chosen.size());
@@ -708,7 +778,7 @@
         core::log(core::LogLevel::Info,
                   "attempt-failed",
                   {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
-                   {"service", request.service.name.str()},
+                   {"service", request.service->name.str()},
                    {"target", target.id.str()},
                    {"condition", core::nameOf(targets::ConditionNames, target.condition)},
                    {"attempt", static_cast<std::uint64_t>(request.triedTargets.size() + 1)},
@@ -723,7 +793,7 @@
                    const http::RelayResult &result) const
     {
         const auto now = m_dependencies.timers.now();
-        const auto objective = request.route.latencyObjective;
+        const auto objective = request.route->latencyObjective;
         if (objective == core::Duration{} || now <= request.waitStart + objective) {
             return;
         }
@@ -733,7 +803,7 @@
         core::log(core::LogLevel::Info,
                   "request-late",
                   {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
-                   {"service", request.service.name.str()},
+                   {"service", request.service->name.str()},
                    {"target", assignment.target->id.str()},
                    {"domain", assignment.target->domain.str()},
                    {"slowness", assignment.slowness},
@@ -743,7 +813,7 @@
                    {"assignment_ms", milliseconds(request.assignmentTime)},
                    {"target_ms", milliseconds(result.headWaitTime)},
                    {"total_ms", milliseconds(now - request.arrival)},
-                   {"usual_ms", milliseconds(m_dependencies.router.usualProcessingTime(request.service.name))},
+                   {"usual_ms", milliseconds(m_dependencies.router.usualProcessingTime(request.service->name))},
                    {"attempts", static_cast<std::uint64_t>(request.triedTargets.size() + 1)}});
     }
 
@@ -752,7 +822,7 @@
         core::log(core::LogLevel::Info,
                   "request-refused",
                   {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
-                   {"service", request.service.name.str()},
+                   {"service", request.service->name.str()},
                    {"run", core::nameOf(requests::RunStateNames, request.outcome.run)},
                    {"tried", static_cast<std::uint64_t>(request.triedTargets.size())},
                    {"error", describe(*request.outcome.failure)}});
@@ -764,7 +834,7 @@
             request.exchange.closeAfterwards();
             return;
         }
-        refuse(request.exchange, request.outcome, &request.service.name);
+        refuse(request.exchange, request.outcome, &request.service->name);
     }
 
     /**
--- a/src/entry/requestscheduler.cpp
+++ b/src/entry/requestscheduler.cpp
@@ -21,6 +21,11 @@
     return {core::ErrorCode::QueueFull, "evicted from the queue by a request with precedence"};
 }
 
+core::Error removedError()
+{
+    return {core::ErrorCode::NoSuchService, "the service was removed from the configuration"};
+}
+
 core::Error stoppingError()
 {
     return {core::ErrorCode::Stopping, "this host may end before the request has a target"};
@@ -45,7 +50,7 @@
         }
     }
     for (const auto ticket : dropped) {
-        resume(ticket, core::Error{core::ErrorCode::NoTarget, "service was removed from the configuration"});
+        resume(ticket, removedError());
     }
 }
 
@@ -88,8 +93,7 @@
         if (outlastsHost(request.deadline)) {
             resume(request.ticket, stoppingError());
         } else if (!m_queue.requeue(request)) {
-            resume(request.ticket,
-                   core::Error{core::ErrorCode::NoTarget, "service was removed from the configuration"});
+            resume(request.ticket, removedError());
         }
         scheduleReady();
     });
--- a/src/entry/requestscheduler.h
+++ b/src/entry/requestscheduler.h
@@ -27,14 +27,14 @@
 public:
     explicit RequestScheduler(core::TimerService &timers);
 
-    /** Sets the institutions and services. Requests that wait for a removed service end with NoTarget. */
+    /** Sets the institutions and services. Requests that wait for a removed service end with NoSuchService. */
     void configure(const configuration::Configuration &configuration);
 
     /**
      * Enqueues the request and suspends the exchange's coroutine until the request is scheduled. Each scheduling ends
      * with one call of complete() or requeue(). Errors, all of which mean that the request was not run: those of the
-     * queue when a request is enqueued, NoTarget if the service is removed, DeadlinePassed if no target has capacity in
-     * time, Stopping if @p deadline is after the end of this host.
+     * queue when a request is enqueued, NoSuchService if the service is removed, DeadlinePassed if no target has
+     * capacity in time, Stopping if @p deadline is after the end of this host.
      */
     core::Result<admission::DequeuedRequest> wait(http::Exchange &exchange,
                                                   const core::ServiceName &service,
