Read the head of a load probe's response by itself, so that its declared length is limited

Operators of a similar system reported a faulty target whose endless bytes exhausted the memory of the host that called it. Here such bytes are bounded, but an entry host ended with std::bad_alloc, and the requests of all its callers with it, when the response to a load probe declared a length of 10^12 bytes.

Cause: Beast 1.74 loses the error of body_limit when head and body are read in one call, and reserves memory for the declared length (stack: operator new, basic_parser::put, read_some_op). Ruled out: the relay, which reads the head by itself and the body through a fixed buffer.

--- a/src/http/loadprobe.cpp
+++ b/src/http/loadprobe.cpp
@@ -93,12 +93,30 @@
         asio::async_write(m_connection->socket,
                           asio::buffer(m_bytes),
                           onStrand([self = shared_from_this()](const error_code &failure, std::size_t) {
-                              failure ? self->finish(false) : self->read();
+                              failure ? self->finish(false) : self->readHeader();
                           }));
     }
 
-    void read()
+    /**
+     * Reads the head by itself: Beast checks a declared length against the limit only then, and otherwise reserves
+     * memory for all of it.
+     */
+    void readHeader()
     {
+        message::async_read_header(m_connection->socket,
+                                   m_connection->buffer,
+                                   m_answer,
+                                   onStrand([self = shared_from_this()](const error_code &failure, std::size_t) {
+                                       failure ? self->finish(false) : self->readBody();
+                                   }));
+    }
+
+    void readBody()
+    {
+        if (m_answer.is_done()) {
+            finish(true);
+            return;
+        }
         message::async_read(m_connection->socket,
                             m_connection->buffer,
                             m_answer,
