Report the first announcement of a target whose lease was only adopted

The next announcement would have renewed that lease in silence, so that the host which had restored or adopted the target kept a second lease, and ended it although the target announced itself: the target would have been gone for some 100 ms. Found by reading. The first announcement is now a change that other hosts learn of, as it was before; also for leases adopted from a silent host, whose records kept naming that host.

The test of the table fails without the change (Renewed instead of Changed).

--- a/src/targets/targettable.cpp
+++ b/src/targets/targettable.cpp
@@ -73,7 +73,9 @@
     }
     const bool isSameVersion = withoutLeaseEpoch(target.version) == withoutLeaseEpoch(stored.version);
     const bool isSameIncarnation = target.version.incarnation == stored.version.incarnation;
-    if (isSameIncarnation && entry.leaseEnd && isSameExceptVersion(target, stored)) {
+    // A lease that this host has only adopted becomes its own with the first announcement, so that others learn of it.
+    const bool isOwnLease = entry.leaseEnd && entry.announcedUntil && stored.origin == target.origin;
+    if (isSameIncarnation && isOwnLease && isSameExceptVersion(target, stored)) {
         entry.leaseEnd = lease;
         entry.lastAnnounced = target.version;
         return UpdateResult::Renewed;
--- a/tests/targets/targettable.cpp
+++ b/tests/targets/targettable.cpp
@@ -140,3 +140,22 @@
     CHECK(changes.back().condition == Condition::Gone);
     CHECK(table.ofService(announced.service).empty());
 }
+
+// Guards against two hosts that both keep a target's lease, one of which ends it although the target announces itself.
+TEST_CASE("the first announcement of a target whose lease was only adopted is a change that other hosts learn of")
+{
+    TargetTable table;
+    auto reported = makeTarget(1, 5, Condition::Warm);
+    reported.origin = core::HostId("c1");
+    table.update(reported);
+    table.adoptLeases(reported.origin, Start + 1s);
+    auto announced = reported;
+    ++announced.version.sequence;
+    CHECK(table.announce(announced, Start + 2s) == UpdateResult::Changed);
+    ++announced.version.sequence;
+    CHECK(table.announce(announced, Start + 3s) == UpdateResult::Renewed);
+    table.adoptLeases(reported.origin, Start + 4s);
+    announced.origin = core::HostId("c2");
+    ++announced.version.sequence;
+    CHECK(table.announce(announced, Start + 4s) == UpdateResult::Changed);
+}
