Count a request without its key under its service again, and repair two tests of stops

The metrics test failed since: a request that is refused for a missing key was counted without its service, because the service was set only after the check. It is set before it, as before.

The test of exit code 4 cut a look-up that was sent at 7.2 s of 8 s by an estimate, which a stopping host no longer sends. It now cuts one that was sent before the signal and has 20 s, and checks that the late one is refused with 4011.

The reads and writes of platformstop.cpp had ids by their moment, and moments that were rounded to whole seconds, so two shared an id. They now come at true tenths, and twice around 2.75 s.

--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -202,11 +202,14 @@
         };
         ActiveRequest request{exchange};
         request.arrival = m_dependencies.timers.now();
-        if (const auto found = follow(request, active); !core::ok(found)) {
+        const auto found = follow(request, active);
+        if (request.service != nullptr) {
+            completed.service = request.service->name.str();
+        }
+        if (!core::ok(found)) {
             failed(core::error(found));
             return;
         }
-        completed.service = request.service->name.str();
         const auto deadline = deadlineOf(exchange, *request.route);
         if (!core::ok(deadline)) {
             failed(core::error(deadline));
@@ -242,17 +245,17 @@
         if (service == nullptr) {
             return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
         }
-        const bool needsRequestKey = route->idempotency == configuration::Idempotency::ByMethod;
         const bool idempotent = configuration::isIdempotent(*route, *service, exchange.method());
-        if (needsRequestKey && !idempotent && exchange.header(service->requestKeyHeader).empty()) {
-            return core::Error{ErrorCode::RequestKeyMissing, service->requestKeyHeader};
-        }
         request.active = active;
         request.route = route;
         request.service = service;
         request.relayOptions.maxRequestBytes = service->maxRequestBytes;
         request.relayOptions.shedIsNotRun = service->shedIsNotRun;
         request.relayOptions.idempotent = idempotent;
+        const bool needsRequestKey = route->idempotency == configuration::Idempotency::ByMethod;
+        if (needsRequestKey && !idempotent && exchange.header(service->requestKeyHeader).empty()) {
+            return core::Error{ErrorCode::RequestKeyMissing, service->requestKeyHeader};
+        }
         return std::monostate{};
     }
 
--- a/tests/processes/gracefulstop.cpp
+++ b/tests/processes/gracefulstop.cpp
@@ -9,6 +9,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
+#include <iterator>
 #include <optional>
 #include <thread>
 
@@ -23,6 +25,15 @@
 
 const std::string LibraryFile = PIMENTOSHED_SOURCE "/examples/library.toml";
 
+/** The text of @p file with a deadline of 20 s in place of the first one, that of look-ups. */
+std::string withLongLookups(const std::string &file)
+{
+    constexpr std::string_view Deadline = "deadline_ms = 2000\n";
+    std::ifstream stream(file);
+    std::string text{std::istreambuf_iterator<char>(stream), {}};
+    return text.replace(text.find(Deadline), Deadline.size(), "deadline_ms = 20000\n");
+}
+
 /** Sends requests to one entry host one after the other, in its own thread, and checks each response. */
 class ContinuousCaller
 {
@@ -142,19 +153,31 @@
     setenv("PIMENTOSHED_STOP_LIMIT", "0", 1);
     Fleet fleet(21, 1);
     unsetenv("PIMENTOSHED_STOP_LIMIT");
-    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(), LibraryFile}) == 0);
+    // Look-ups that may take longer than the 8 s for which the host accepts requests after the signal.
+    const support::TemporaryFolder folder;
+    const auto file = folder.path() / "library.toml";
+    std::ofstream(file) << withLongLookups(LibraryFile);
+    REQUIRE(fleet.run({"apply", "--at=" + fleet.operatorAddress(), file}) == 0);
     fleet.addTargets("catalogue", 1);
     REQUIRE(fleet.waitUntilReady(1));
     for (unsigned i = 0; i < 20; ++i) {
         REQUIRE(core::ok(sendRequest(fleet.callerAddress(0), "/catalogue/a")));
     }
-    fleet.entry(0).signal(SIGTERM);
-    std::this_thread::sleep_for(std::chrono::milliseconds(7200));
-    // By its usual processing time the request would end long before the host does.
     fleet.target(0).signal(SIGSTOP);
     std::thread caller([&fleet]() {
-        sendRequest(fleet.callerAddress(0), "/catalogue/b");
+        http::ClientRequest request;
+        request.method = "GET";
+        request.target = "/catalogue/b";
+        CHECK_FALSE(core::ok(http::fetch(fleet.callerAddress(0), request, std::chrono::seconds(20))));
     });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fleet.entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(7200));
+    // By its usual processing time it would end long before the host does, but not by the time that it has.
+    const auto late = sendRequest(fleet.callerAddress(0), "/catalogue/c");
+    REQUIRE(core::ok(late));
+    CHECK(core::value(late).status == 503);
+    CHECK(core::value(late).body.find("\"code\":4011") != std::string::npos);
     constexpr int StoppedWithRequests = 4;
     CHECK(fleet.entry(0).wait() == StoppedWithRequests);
     fleet.target(0).signal(SIGCONT);
--- a/tests/processes/platformstop.cpp
+++ b/tests/processes/platformstop.cpp
@@ -29,13 +29,16 @@
 /** Until when reads are sent by an estimate of their time; those that are cut nevertheless are not counted as lost. */
 constexpr auto EstimatedUntil = 2800ms;
 
-/** Stops entry host 0, and sends it a read and a write at each tenth of the grace period and at EstimatedUntil. */
+/**
+ * Stops entry host 0, and sends it a read and a write at each tenth of the grace period, and twice more before it may
+ * no longer go by an estimate.
+ */
 std::vector<LateRequest> requestsDuringStop(PlatformFleet &fleet)
 {
     constexpr unsigned Steps = 10;
-    std::vector<core::Duration> moments{EstimatedUntil};
+    std::vector<core::Duration> moments{EstimatedUntil - 100ms, EstimatedUntil};
     for (unsigned step = 0; step < Steps; ++step) {
-        moments.push_back(step * PlatformFleet::GracePeriod / Steps);
+        moments.push_back(step * core::Duration(PlatformFleet::GracePeriod) / Steps);
     }
     std::sort(moments.begin(), moments.end());
     std::vector<LateRequest> requests;
