--- a/tests/processes/droppedservice.cpp
+++ b/tests/processes/droppedservice.cpp
@@ -46,6 +46,7 @@
     }
     CHECK(status == 200);
     std::vector<unsigned> statuses;
+    statuses.reserve(Requests);
     for (const auto &answer : answers) {
         statuses.push_back(core::ok(answer) ? core::value(answer).status : 0);
     }
--- a/tests/processes/leavingcallers.cpp
+++ b/tests/processes/leavingcallers.cpp
@@ -89,6 +89,6 @@
         }
         served += request.id == "stayed" ? 1 : 0;
     }
-    CHECK(late == std::vector<std::string>{});
+    CHECK_THAT(late, Catch::Matchers::Equals(std::vector<std::string>()));
     CHECK(served == 2);
 }
