--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -108,7 +108,7 @@
         m_stop =
             requests::HostStop{now + m_settings.estimateDurationOnStop, now + acceptDuration + m_settings.stopLimit};
         m_stopping = true;
-        m_scheduler.stopAt(now + acceptDuration + m_settings.stopLimit);
+        m_scheduler.stopAt(m_stop.end);
         m_feedClient->sendOwnRecord();
         if (m_callerServer) {
             m_callerServer->closeAfterAnswers();
--- a/tests/processes/endlessresponses.cpp
+++ b/tests/processes/endlessresponses.cpp
@@ -1,4 +1,5 @@
 #include "processes/platformfleet.h"
+#include "processes/rawtarget.h"
 
 #include "http/address.h"
 
@@ -10,11 +11,9 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <fstream>
-#include <list>
-#include <netinet/in.h>
+#include <mutex>
 #include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 using namespace pimentoshed;
 using namespace pimentoshed::processes;
@@ -63,49 +62,16 @@
     EndlessBytes{"bytes behind a response", headWith("Content-Length: 2\r\n") + "ok", "x"},
 };
 
-/** The value of the header X-Request-Id in @p head; empty if it has none. */
-std::string requestId(const std::string &head)
-{
-    constexpr std::string_view Name = "\r\nX-Request-Id: ";
-    const auto start = head.find(Name);
-    if (start == std::string::npos) {
-        return {};
-    }
-    const auto value = start + Name.size();
-    return head.substr(value, head.find("\r\n", value) - value);
-}
-
 /** A target that sends bytes without end until the connection is closed, to requests, to load probes or to both. */
 class EndlessTarget
 {
 public:
     explicit EndlessTarget(const std::string &address)
-        : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        const auto endpoint = core::value(http::parseAddress(address));
-        const int on = 1;
-        setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        REQUIRE(bind(m_listener, endpoint.data(), static_cast<socklen_t>(endpoint.size())) == 0);
-        REQUIRE(listen(m_listener, 128) == 0);
-        m_acceptor = std::thread([this]() {
-            run();
-        });
-    }
-
-    ~EndlessTarget()
+        : m_target(address, [this](int descriptor, const std::string &head) {
+            return respond(descriptor, head);
+        })
     {
-        m_isStopping = true;
-        shutdown(m_listener, SHUT_RDWR);
-        m_acceptor.join();
-        for (auto &connection : m_connections) {
-            shutdown(connection.descriptor, SHUT_RDWR);
-            connection.thread.join();
-            ::close(connection.descriptor);
-        }
-        ::close(m_listener);
     }
-    EndlessTarget(const EndlessTarget &) = delete;
-    EndlessTarget &operator=(const EndlessTarget &) = delete;
 
     void respondWith(const EndlessBytes &bytes, bool alsoToProbes)
     {
@@ -121,44 +87,6 @@
     }
 
 private:
-    struct Connection {
-        int descriptor;
-        std::thread thread;
-    };
-
-    void run()
-    {
-        while (!m_isStopping) {
-            const int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-            if (descriptor < 0) {
-                return;
-            }
-            auto &connection = m_connections.emplace_back(Connection{descriptor, {}});
-            connection.thread = std::thread([this, descriptor]() {
-                serve(descriptor);
-            });
-        }
-    }
-
-    void serve(int descriptor)
-    {
-        std::string received;
-        bool isOpen = true;
-        while (isOpen) {
-            std::string piece(4096, '\0');
-            const auto count = recv(descriptor, piece.data(), piece.size(), 0);
-            if (count <= 0) {
-                break;
-            }
-            received.append(piece, 0, static_cast<std::size_t>(count));
-            if (const auto end = received.find("\r\n\r\n"); end != std::string::npos) {
-                isOpen = respond(descriptor, received.substr(0, end + 2));
-                received.clear();
-            }
-        }
-        shutdown(descriptor, SHUT_RDWR);
-    }
-
     /** Returns whether the connection stays open. */
     bool respond(int descriptor, const std::string &head)
     {
@@ -173,7 +101,7 @@
             bytes.start = headWith("X-Instance-Id: i-endless\r\nContent-Length: 0\r\n");
         }
         if (const auto at = bytes.start.find("ID"); at != std::string::npos) {
-            bytes.start.replace(at, 2, requestId(head));
+            bytes.start.replace(at, 2, headerOf(head, "X-Request-Id"));
         }
         if (bytes.rest.empty()) {
             return write(descriptor, bytes.start);
@@ -184,7 +112,7 @@
             block += bytes.rest;
         }
         bool isOpen = write(descriptor, bytes.start);
-        while (isOpen && !m_isStopping) {
+        while (isOpen) {
             isOpen = write(descriptor, block);
         }
         return false;
@@ -203,14 +131,12 @@
         return true;
     }
 
-    const int m_listener;
-    std::atomic<bool> m_isStopping{false};
     std::atomic<unsigned> m_floods{0};
     std::mutex m_mutex;
     EndlessBytes m_bytes;
     bool m_floodsProbes = false;
-    std::list<Connection> m_connections;
-    std::thread m_acceptor;
+    /** The last member, as its threads use the others. */
+    RawTarget m_target;
 };
 
 /** Sends a request to @p address and reads what comes, or nothing, for up to @p length. Keeps nothing of it. */
--- a/tests/processes/platformstop.cpp
+++ b/tests/processes/platformstop.cpp
@@ -26,6 +26,26 @@
     }
 };
 
+/** Stops entry host 0, sends it each of @p requests at its moment, and records the answers. */
+void stopAndSend(PlatformFleet &fleet, std::vector<LateRequest> &requests)
+{
+    fleet.entry(0).signal(SIGTERM);
+    const auto start = core::steadyNow();
+    std::vector<std::thread> callers;
+    callers.reserve(requests.size());
+    for (auto &request : requests) {
+        std::this_thread::sleep_until(start + request.afterSignal);
+        callers.emplace_back([&fleet, &request]() {
+            request.answer = fleet.request(0, request.method, request.id);
+        });
+    }
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    CHECK(fleet.entry(0).wait() == 0);
+    CHECK(core::steadyNow() - start < PlatformFleet::GracePeriod);
+}
+
 /** Until when reads are sent by an estimate of their time; those that are cut nevertheless are not counted as lost. */
 constexpr auto EstimatedUntil = 2800ms;
 
@@ -47,21 +67,7 @@
             requests.push_back({fmt::format("{}-{}", method, core::toSeconds(moment)), method, moment});
         }
     }
-    fleet.entry(0).signal(SIGTERM);
-    const auto start = core::steadyNow();
-    std::vector<std::thread> callers;
-    callers.reserve(requests.size());
-    for (auto &request : requests) {
-        std::this_thread::sleep_until(start + request.afterSignal);
-        callers.emplace_back([&fleet, &request]() {
-            request.answer = fleet.request(0, request.method, request.id);
-        });
-    }
-    for (auto &caller : callers) {
-        caller.join();
-    }
-    CHECK(fleet.entry(0).wait() == 0);
-    CHECK(core::steadyNow() - start < PlatformFleet::GracePeriod);
+    stopAndSend(fleet, requests);
     return requests;
 }
 
@@ -129,24 +135,11 @@
     REQUIRE(target.announce(fleet.controlAddress()) == 200);
     REQUIRE(fleet.waitUntilServing());
     fleet.load(20, 2s);
-    fleet.entry(0).signal(SIGTERM);
-    const auto start = core::steadyNow();
     std::vector<LateRequest> requests;
     for (const auto moment : {3200ms, 3600ms, 4000ms}) {
         requests.push_back({fmt::format("slow-{}", moment.count()), "GET", moment});
     }
-    std::vector<std::thread> callers;
-    callers.reserve(requests.size());
-    for (auto &request : requests) {
-        std::this_thread::sleep_until(start + request.afterSignal);
-        callers.emplace_back([&fleet, &request]() {
-            request.answer = fleet.request(0, request.method, request.id);
-        });
-    }
-    for (auto &caller : callers) {
-        caller.join();
-    }
-    CHECK(fleet.entry(0).wait() == 0);
+    stopAndSend(fleet, requests);
     checkNoneCut(requests, target);
 }
 
--- a/tests/processes/truncatedheads.cpp
+++ b/tests/processes/truncatedheads.cpp
@@ -1,16 +1,12 @@
 #include "processes/platformfleet.h"
-
-#include "http/address.h"
+#include "processes/rawtarget.h"
 
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
-#include <list>
-#include <netinet/in.h>
+#include <mutex>
 #include <sys/socket.h>
-#include <thread>
-#include <unistd.h>
 
 using namespace pimentoshed;
 using namespace pimentoshed::processes;
@@ -19,51 +15,17 @@
 namespace
 {
 
-constexpr std::string_view BlankLine = "\r\n\r\n";
-
-/** The value of the header @p name in @p head; empty if it has none. */
-std::string headerOf(const std::string &head, const std::string &name)
-{
-    const auto start = head.find("\r\n" + name + ": ");
-    if (start == std::string::npos) {
-        return {};
-    }
-    const auto value = start + name.size() + 4;
-    return head.substr(value, head.find("\r\n", value) - value);
-}
-
 /** A target that answers load probes, and each request with the first bytes of a response before it closes. */
 class CuttingTarget
 {
 public:
     explicit CuttingTarget(const std::string &address)
-        : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        : m_target(address, [this](int descriptor, const std::string &head) {
+            return respond(descriptor, head);
+        })
     {
-        const auto endpoint = core::value(http::parseAddress(address));
-        const int on = 1;
-        setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        REQUIRE(bind(m_listener, endpoint.data(), static_cast<socklen_t>(endpoint.size())) == 0);
-        REQUIRE(listen(m_listener, 64) == 0);
-        m_acceptor = std::thread([this]() {
-            run();
-        });
     }
 
-    ~CuttingTarget()
-    {
-        m_isStopping = true;
-        shutdown(m_listener, SHUT_RDWR);
-        m_acceptor.join();
-        for (auto &connection : m_connections) {
-            shutdown(connection.descriptor, SHUT_RDWR);
-            connection.thread.join();
-            ::close(connection.descriptor);
-        }
-        ::close(m_listener);
-    }
-    CuttingTarget(const CuttingTarget &) = delete;
-    CuttingTarget &operator=(const CuttingTarget &) = delete;
-
     /** The response to the next requests, with "ID" for the id of the request, and how much of it is sent. */
     void respondWith(const std::string &response, std::size_t bytes, bool keepsProbeConnections)
     {
@@ -79,45 +41,6 @@
     }
 
 private:
-    struct Connection {
-        int descriptor;
-        std::thread thread;
-    };
-
-    void run()
-    {
-        while (!m_isStopping) {
-            const int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-            if (descriptor < 0) {
-                return;
-            }
-            auto &connection = m_connections.emplace_back(Connection{descriptor, {}});
-            connection.thread = std::thread([this, descriptor]() {
-                serve(descriptor);
-            });
-        }
-    }
-
-    void serve(int descriptor)
-    {
-        std::string received;
-        bool isOpen = true;
-        while (isOpen) {
-            std::string piece(4096, '\0');
-            const auto count = recv(descriptor, piece.data(), piece.size(), 0);
-            if (count <= 0) {
-                break;
-            }
-            received.append(piece, 0, static_cast<std::size_t>(count));
-            const auto end = received.find(BlankLine);
-            if (end != std::string::npos) {
-                isOpen = respond(descriptor, received.substr(0, end + 2));
-                received.clear();
-            }
-        }
-        shutdown(descriptor, SHUT_RDWR);
-    }
-
     /** Returns whether the connection stays open. */
     bool respond(int descriptor, const std::string &head)
     {
@@ -140,15 +63,13 @@
         return send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0 && staysOpen;
     }
 
-    const int m_listener;
-    std::atomic<bool> m_isStopping{false};
     std::atomic<unsigned> m_requests{0};
     std::mutex m_mutex;
     std::string m_response;
     std::size_t m_bytes = 0;
     bool m_keepsProbeConnections = true;
-    std::list<Connection> m_connections;
-    std::thread m_acceptor;
+    /** The last member, as its threads use the others. */
+    RawTarget m_target;
 };
 
 const std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request-Id: ID\r\nX-Response-Sig: sig\r\n";
