Tell hosts that know all targets from hosts that have just restarted

Cause: a restarted host that was in contact with its peers took its knowledge of targets for complete, although the peers had restarted too. Only the entry hosts knew the later incarnation, and reported it after the confirmation. Ruled out by the record: a withdrawal that is lost, since nothing was recorded.

membership::TargetKnowledge now holds the rule: knowledge is complete after a lease, or with all targets of a peer whose knowledge is complete, which the reply to a follow call says. Found by reading, with the same cause: a reply that waited in a buffer while the host was frozen counted as new, and a host cut off from its peers for a lease confirmed again, without a quorum, what it knew as withdrawn.

The fleet of the process tests can have several control hosts.

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -12,6 +12,7 @@
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "http/server.h"
+#include "membership/targetknowledge.h"
 #include "membership/voterreplacement.h"
 #include "rpc/codec.h"
 #include "rpc/commandcodec.h"
@@ -88,6 +89,9 @@
                            makeSeed(),
                            [this]() {
                                return controlHosts();
+                           },
+                           [this]() {
+                               return m_targetKnowledge.isComplete(m_timers.now(), targetLease());
                            }})
     {
     }
@@ -109,11 +113,11 @@
         m_replicator = std::move(core::value(replicator));
         m_targetStore = std::make_unique<TargetStore>(m_settings.dataFolder, targetStoreDependencies(), m_timers.now());
         m_leaderForwarder = std::make_unique<LeaderForwarder>(*m_replicator, m_peers, core::steadyNow);
+        m_targetKnowledge.start(m_timers.now());
         auto listening = listen();
         if (!core::ok(listening)) {
             return listening;
         }
-        m_startTime = m_timers.now();
         updateFollowers();
         m_tickTimer = m_timers.every(TickPeriod, [this]() {
             tick();
@@ -234,7 +238,10 @@
         }
         m_followedVoters = members.voters;
         std::map<core::HostId, std::shared_ptr<PeerFollower>> followers;
-        for (const auto &host : otherHosts()) {
+        const auto hosts = otherHosts();
+        // Before the followers report what they have heard.
+        m_targetKnowledge.setPeers(hosts, m_timers.now());
+        for (const auto &host : hosts) {
             const auto found = m_followers.find(host);
             followers.emplace(host, found == m_followers.end() ? startFollower(host) : found->second);
         }
@@ -244,10 +251,7 @@
                 m_membershipFeed.removePeer(host);
             }
         }
-        {
-            const core::Lock lock(m_mutex);
-            m_followers = std::move(followers);
-        }
+        m_followers = std::move(followers);
         m_membershipFeed.noteControlHostsChanged();
     }
 
@@ -275,6 +279,9 @@
                                                 [this](const std::vector<targets::Target> &targets) {
                                                     recordPeerTargets(targets);
                                                 },
+                                                [this](const core::HostId &peer, const membership::PeerUpdate &update) {
+                                                    m_targetKnowledge.recordUpdate(peer, update);
+                                                },
                                                 [this](const core::HostId &silent) {
                                                     m_targets.adoptLeases(silent, m_timers.now() + targetLease());
                                                 }};
@@ -300,24 +307,14 @@
         m_targets.adoptLeases(m_settings.id, m_timers.now() + targetLease());
     }
 
-    /**
-     * Whether no other host knows a later incarnation of target @p id. After a restart, a later one may be unknown here
-     * until the peers have reported it, or until all targets have had the time to announce themselves again.
-     */
-    bool knowsLatestIncarnation(const core::TargetId &id) const
+    membership::IncarnationKnowledge incarnationKnowledge(const core::TargetId &id) const
     {
         const auto now = m_timers.now();
-        const auto lease = targetLease();
         if (m_targets.isAnnouncedHere(id, now)) {
-            return true;
+            return membership::IncarnationKnowledge::Latest;
         }
-        const core::Lock lock(m_mutex);
-        if (m_followers.empty()) {
-            return now - m_startTime >= lease;
-        }
-        return std::all_of(m_followers.begin(), m_followers.end(), [now, lease](const auto &follower) {
-            return follower.second->isUpToDate(now, lease);
-        });
+        return m_targetKnowledge.isCurrent(now, targetLease()) ? membership::IncarnationKnowledge::LatestIfCurrent
+                                                               : membership::IncarnationKnowledge::Uncertain;
     }
 
     void stopFollowers()
@@ -390,8 +387,8 @@
         dependencies.announce = [this](const targets::Target &target) {
             return m_targets.announce(target, m_timers.now() + targetLease());
         };
-        dependencies.knowsLatestIncarnation = [this](const core::TargetId &id) {
-            return knowsLatestIncarnation(id);
+        dependencies.incarnationKnowledge = [this](const core::TargetId &id) {
+            return incarnationKnowledge(id);
         };
         dependencies.findTarget = [this](const core::TargetId &id) {
             return m_targets.find(id);
@@ -681,6 +678,7 @@
     telemetry::Registry m_metrics;
     telemetry::RevisionAgeTracker m_revisionAgeTracker;
     membership::MembershipFeed m_membershipFeed;
+    membership::TargetKnowledge m_targetKnowledge;
     PeerClients m_peers;
     std::atomic<bool> m_stopped{false};
     std::atomic<bool> m_isConfirming{false};
@@ -689,7 +687,6 @@
     core::TimePoint m_nextJoin{};
     core::TimePoint m_nextUpdate{};
     std::vector<consensus::MemberId> m_followedVoters;
-    core::TimePoint m_startTime{};
     /** Whether this host has applied everything that was committed before a confirmation by a quorum. */
     std::atomic<bool> m_isStateConfirmed{false};
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
@@ -700,7 +697,6 @@
     std::unique_ptr<Replicator> m_replicator;
     std::unique_ptr<LeaderForwarder> m_leaderForwarder;
     std::unique_ptr<TargetStore> m_targetStore;
-    /** Changed only by the tick timer, with m_mutex locked. */
     std::map<core::HostId, std::shared_ptr<PeerFollower>> m_followers;
     std::vector<std::shared_ptr<http::Server>> m_httpServers;
     std::unique_ptr<rpc::ControlServer> m_rpcServer;
--- a/src/control/followrpchandler.cpp
+++ b/src/control/followrpchandler.cpp
@@ -217,6 +217,8 @@
     if (activeConfiguration->revision > request.revision()) {
         addConfiguration(activeConfiguration, request.version(), *reply.mutable_standing());
     }
+    // Read before the targets, which are then at least as complete.
+    reply.set_targets_complete(request.peer() && m_dependencies.isTargetKnowledgeComplete());
     const auto updates = m_dependencies.membershipFeed.updateSince(positionOf(request), subscriberKindOf(request));
     reply.set_feed_id(m_dependencies.feedId);
     reply.set_feed_position(updates.position);
--- a/src/control/followrpchandler.h
+++ b/src/control/followrpchandler.h
@@ -49,6 +49,8 @@
         std::uint64_t feedId = 0;
         /** Returns the control hosts that entry hosts may follow. */
         std::function<std::vector<membership::ControlHost>()> controlHosts;
+        /** Whether this host knows the latest incarnation of each target. */
+        std::function<bool()> isTargetKnowledgeComplete;
     };
 
     explicit FollowRpcHandler(Dependencies dependencies);
--- a/src/control/httphandlerdependencies.h
+++ b/src/control/httphandlerdependencies.h
@@ -8,6 +8,7 @@
 #include "consensus/replica.h"
 #include "http/server.h"
 #include "membership/hosts.h"
+#include "membership/targetknowledge.h"
 #include "targets/targettable.h"
 
 #include <functional>
@@ -35,8 +36,7 @@
     /** Withdraws a target, so that no host sends it new requests; binding once the callback has got the answer. */
     std::function<void(const targets::Target &, std::function<void(changes::Answer)>)> submitWithdrawal;
     std::function<std::optional<targets::Target>(const core::TargetId &)> findTarget;
-    /** Whether no other host knows a later incarnation of the target than findTarget returns. */
-    std::function<bool(const core::TargetId &)> knowsLatestIncarnation;
+    std::function<membership::IncarnationKnowledge(const core::TargetId &)> incarnationKnowledge;
     std::function<std::size_t()> targetCount;
 
     /** Returns the state of this host's replica of the log. */
--- a/src/control/peerfollower.cpp
+++ b/src/control/peerfollower.cpp
@@ -43,17 +43,12 @@
     m_retryTimer.cancel();
 }
 
-bool PeerFollower::isUpToDate(core::TimePoint now, core::Duration lease) const
-{
-    const auto silence = now - m_lastReplyAt.load();
-    return (m_hasReply && silence <= FollowTimeout) || silence >= lease;
-}
-
 void PeerFollower::sendRequest()
 {
     if (m_stopped) {
         return;
     }
+    m_callTime = m_dependencies.timers.now();
     rpc::FollowRequest request;
     request.set_peer(true);
     request.mutable_host()->set_id(m_dependencies.self.id.str());
@@ -79,11 +74,10 @@
     if (core::ok(reply)) {
         applyReply(core::value(reply));
         m_lastReplyAt = now;
-        m_hasReply = true;
         sendRequest();
         return;
     }
-    if (now - m_lastReplyAt.load() > PeerTimeout) {
+    if (now - m_lastReplyAt > PeerTimeout) {
         m_dependencies.membershipFeed.removePeer(m_peer);
         m_dependencies.onSilent(m_peer);
     }
@@ -107,6 +101,7 @@
         m_dependencies.recordTargets(targets);
     }
     m_dependencies.membershipFeed.updatePeerHosts(m_peer, rpc::decodeHosts(reply));
+    m_dependencies.onUpdate(m_peer, {m_callTime, reply.feed_id() != m_feedId, reply.targets_complete()});
     m_feedId = reply.feed_id();
     m_feedPosition = reply.feed_position();
 }
--- a/src/control/peerfollower.h
+++ b/src/control/peerfollower.h
@@ -8,6 +8,7 @@
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "membership/membershipfeed.h"
+#include "membership/targetknowledge.h"
 #include "rpc/controlclient.h"
 
 #include <atomic>
@@ -31,6 +32,8 @@
         membership::ControlHost self;
         /** Called with the targets in a reply of the peer, if there are any. */
         std::function<void(const std::vector<targets::Target> &)> recordTargets;
+        /** Called after each reply, once its targets were recorded. */
+        std::function<void(const core::HostId &, const membership::PeerUpdate &)> onUpdate;
         /** Called after a failed call, if the peer has been silent for so long that its entry hosts were removed. */
         std::function<void(const core::HostId &)> onSilent;
     };
@@ -40,12 +43,6 @@
     void start();
     void stop();
 
-    /**
-     * Whether this host knows, apart from messages on their way, the targets that the peer knows and still serve: it is
-     * in contact with the peer, or has not been for @p lease, after which targets must have announced themselves again.
-     */
-    bool isUpToDate(core::TimePoint now, core::Duration lease) const;
-
 private:
     void sendRequest();
     void handleReply(const core::Result<rpc::FollowReply> &reply);
@@ -60,9 +57,8 @@
     /** One call is in progress at a time, so these members need no lock. */
     std::uint64_t m_feedId = 0;
     std::uint64_t m_feedPosition = 0;
-    std::atomic<bool> m_hasReply{false};
-    /** Until the first reply, when this object was made. */
-    std::atomic<core::TimePoint> m_lastReplyAt;
+    core::TimePoint m_callTime{};
+    core::TimePoint m_lastReplyAt;
     core::RankedMutex m_mutex{core::LockRank::Connections};
     core::TimerSubscription m_retryTimer;
 };
--- a/tests/control/followrpchandler.cpp
+++ b/tests/control/followrpchandler.cpp
@@ -27,7 +27,11 @@
                                   return std::vector<membership::ControlHost>{
                                       {core::HostId("c1"), "127.0.0.1:1", core::FailureDomain("ravne")},
                                       {core::HostId("c2"), "127.0.0.2:1", core::FailureDomain("mezica")}};
+                              },
+                              [this]() {
+                                  return isTargetKnowledgeComplete;
                               }}};
+    bool isTargetKnowledgeComplete = false;
     std::vector<rpc::FollowReply> replies;
 
     void follow(const rpc::FollowRequest &request)
@@ -189,3 +193,19 @@
     fixture.confirmReceived(Start + 400ms);
     CHECK(fixture.replies.empty());
 }
+
+TEST_CASE("a reply tells other control hosts, and only those, whether this host's knowledge of targets is complete")
+{
+    Fixture fixture;
+    auto peer = Fixture::firstRequest("mezica");
+    peer.set_peer(true);
+    fixture.addTarget("t1");
+    fixture.follow(peer);
+    fixture.isTargetKnowledgeComplete = true;
+    fixture.follow(peer);
+    fixture.follow(Fixture::firstRequest("ravne"));
+    REQUIRE(fixture.replies.size() == 3);
+    CHECK_FALSE(fixture.replies[0].targets_complete());
+    CHECK(fixture.replies[1].targets_complete());
+    CHECK_FALSE(fixture.replies[2].targets_complete());
+}
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -18,21 +18,25 @@
 constexpr unsigned CallerPort = 8548;
 constexpr unsigned ReadyPort = 8542;
 constexpr unsigned TargetPort = 8080;
+constexpr unsigned FirstControl = 1;
 constexpr unsigned FirstEntry = 10;
 constexpr unsigned FirstTarget = 100;
 constexpr auto StartLimit = std::chrono::seconds(10);
 
-/** The configuration @p version, with routes to @p service only. */
-std::string configuration(std::chrono::milliseconds timeout, unsigned version, const std::string &service)
+/** The configuration @p version, with routes to @p service only and reads of the kind @p readsKind. */
+std::string configuration(std::chrono::milliseconds timeout,
+                          unsigned version,
+                          const std::string &service,
+                          const std::string &readsKind)
 {
     constexpr auto Format = R"({{"version":"{1:08x}","base_version":"{2:08x}",
-    "routes":{{"reads":{{"hostname":"loans.example","path_prefix":"/a/","kind":"safe","timeout":"{0}ms","slo":"400ms",
+    "routes":{{"reads":{{"hostname":"loans.example","path_prefix":"/a/","kind":"{4}","timeout":"{0}ms","slo":"400ms",
                        "priority":0,"service":"{3}","attempts":2}},
               "writes":{{"hostname":"loans.example","path_prefix":"/b/","kind":"unsafe","timeout":"{0}ms",
                         "slo":"400ms","priority":0,"service":"{3}","attempts":2}}}},
     "services":{{"{3}":{{"health_path":"/health","max_conns":260,"cold":"3s","cold_per_s":20.0}}}},
     "limits":{{"max_header_bytes":16384,"max_body_bytes":1048576}}}})";
-    return fmt::format(Format, timeout.count(), version, version - 1, service);
+    return fmt::format(Format, timeout.count(), version, version - 1, service, readsKind);
 }
 
 bool hasHeader(const http::Reply &reply, const std::string &name)
@@ -179,11 +183,17 @@
     exchange.send(reply);
 }
 
-PlatformFleet::PlatformFleet(unsigned subnet, unsigned entryHosts, std::chrono::milliseconds timeout)
+PlatformFleet::PlatformFleet(unsigned subnet,
+                             unsigned entryHosts,
+                             std::chrono::milliseconds timeout,
+                             unsigned controlHosts)
     : m_subnet(subnet)
     , m_timeout(timeout)
+    , m_controlHosts(controlHosts)
 {
-    m_control = start("control", "control", 1);
+    for (unsigned i = 0; i < m_controlHosts; ++i) {
+        m_controls.push_back(startControl(i));
+    }
     for (unsigned i = 0; i < entryHosts; ++i) {
         m_entries.push_back(start("entry", fmt::format("entry-{}", i), FirstEntry + i));
     }
@@ -201,7 +211,7 @@
         return true;
     };
     if (!eventually(isConfigured, StartLimit) || !eventually(areReady, StartLimit)) {
-        throw std::runtime_error("the hosts were not ready within 10 s:\n" + lastLines(logFile("control"), 10));
+        throw std::runtime_error("the hosts were not ready within 10 s:\n" + lastLines(logFile("control-0"), 10));
     }
 }
 
@@ -211,12 +221,19 @@
     if (!hasTestFailed() || !hasTestFailed()()) {
         return;
     }
-    fmt::print("control:\n{}", lastLines(logFile("control"), Lines));
+    for (unsigned i = 0; i < m_controlHosts; ++i) {
+        fmt::print("control {}:\n{}", i, lastLines(logFile(fmt::format("control-{}", i)), Lines));
+    }
     for (unsigned i = 0; i < m_entries.size(); ++i) {
         fmt::print("entry {}:\n{}", i, lastLines(logFile(fmt::format("entry-{}", i)), Lines));
     }
 }
 
+Process PlatformFleet::startControl(unsigned number)
+{
+    return start("control", fmt::format("control-{}", number), FirstControl + number);
+}
+
 Process PlatformFleet::start(const std::string &role, const std::string &name, unsigned host)
 {
     const auto settings = writeSettings(name, host, role == "control");
@@ -231,16 +248,24 @@
     m_entries.at(number) = start("entry", fmt::format("entry-{}", number), FirstEntry + number);
 }
 
-void PlatformFleet::restartControl()
+void PlatformFleet::restartControls(const std::function<void(const std::string &)> &beforeStart)
 {
-    m_control.signal(SIGKILL);
-    m_control.wait();
-    m_control = start("control", "control", 1);
+    for (auto &control : m_controls) {
+        control.signal(SIGKILL);
+        control.wait();
+    }
+    for (unsigned i = 0; i < m_controlHosts; ++i) {
+        if (beforeStart) {
+            beforeStart(dataFolder(fmt::format("control-{}", i)));
+        }
+        m_controls.at(i) = startControl(i);
+    }
 }
 
-unsigned PlatformFleet::configure(unsigned version, const std::string &service) const
+unsigned PlatformFleet::configure(unsigned version, const std::string &service, const std::string &readsKind) const
 {
-    const auto answer = sendRequest(controlAddress(), "/config", "PUT", configuration(m_timeout, version, service));
+    const auto answer =
+        sendRequest(controlAddress(), "/config", "PUT", configuration(m_timeout, version, service, readsKind));
     return core::ok(answer) ? core::value(answer).status : 0;
 }
 
@@ -249,28 +274,38 @@
     return m_folder.path() / (name + ".log");
 }
 
+std::string PlatformFleet::dataFolder(const std::string &name) const
+{
+    return m_folder.path() / ("data-" + name);
+}
+
 std::string PlatformFleet::writeSettings(const std::string &name, unsigned host, bool isControl)
 {
     const auto ip = fmt::format("127.{}.0.{}", m_subnet, host);
     std::string path = m_folder.path() / (name + ".toml");
     std::ofstream file(path);
+    std::string seeds;
+    for (unsigned i = 0; i < m_controlHosts; ++i) {
+        seeds += fmt::format("{}\"{}\"", i == 0 ? "" : ",", controlAddress(i));
+    }
     file << fmt::format("node_name = \"{}\"\nip = \"{}\"\nzone = \"ravne\"\nport_range = [7540,7555]\n", name, ip)
-         << fmt::format("seeds = [\"{}\"]\nbootstrap = true\nheartbeat = \"1500ms\"\n", controlAddress())
+         << fmt::format("seeds = [{}]\nbootstrap = true\nheartbeat = \"1500ms\"\n", seeds)
          << fmt::format("bounds = [\"grace={}s\",", GracePeriod.count())
          << "\"ttl_max=5s\",\"retry_ratio=0.2\",\"retry_slack=62\"]\n"
-         << "fault_tolerance.machines = 0\nlimits.cpu_share = 1.0\nzones.ravne = \"koroska\"\n";
+         << fmt::format("fault_tolerance.machines = {}\n", m_controlHosts / 2)
+         << "limits.cpu_share = 1.0\nzones.ravne = \"koroska\"\n";
     if (isControl) {
-        file << fmt::format("data_dir = \"{}\"\n", (m_folder.path() / "data").string())
-             << fmt::format("listen.control = \"{}\"\n", controlAddress());
+        file << fmt::format("data_dir = \"{}\"\n", dataFolder(name))
+             << fmt::format("listen.control = \"{}:{}\"\n", ip, ControlPort);
     } else {
         file << fmt::format("listen.front = \"{}:{}\"\nlisten.ready = \"{}:{}\"\n", ip, CallerPort, ip, ReadyPort);
     }
     return path;
 }
 
-std::string PlatformFleet::controlAddress() const
+std::string PlatformFleet::controlAddress(unsigned control) const
 {
-    return fmt::format("127.{}.0.1:{}", m_subnet, ControlPort);
+    return fmt::format("127.{}.0.{}:{}", m_subnet, FirstControl + control, ControlPort);
 }
 
 std::string PlatformFleet::callerAddress(unsigned entry) const
@@ -288,9 +323,9 @@
     return m_entries.at(number);
 }
 
-Process &PlatformFleet::control()
+Process &PlatformFleet::control(unsigned number)
 {
-    return m_control;
+    return m_controls.at(number);
 }
 
 bool PlatformFleet::waitUntilServing() const
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -93,7 +93,7 @@
     core::TimerSubscription m_renewal;
 };
 
-/** One control host and several entry hosts in one failure domain, and a configuration with one route and service. */
+/** Control hosts and entry hosts in one failure domain, and a configuration with two routes and one service. */
 class PlatformFleet
 {
 public:
@@ -101,28 +101,31 @@
     static constexpr auto GracePeriod = std::chrono::seconds(6);
 
     /**
-     * Addresses are 127.@p subnet.0.x. Routes and requests have the timeout @p timeout. Waits until every entry host is
-     * ready. Throws std::runtime_error.
+     * Addresses are 127.@p subnet.0.x. Routes and requests have the timeout @p timeout. There are @p controlHosts
+     * control hosts, an odd number. Waits until every entry host is ready. Throws std::runtime_error.
      */
-    PlatformFleet(unsigned subnet, unsigned entryHosts, std::chrono::milliseconds timeout = std::chrono::seconds(1));
+    PlatformFleet(unsigned subnet,
+                  unsigned entryHosts,
+                  std::chrono::milliseconds timeout = std::chrono::seconds(1),
+                  unsigned controlHosts = 1);
     /** If the test has failed, prints the last log lines of each host. */
     ~PlatformFleet();
 
-    std::string controlAddress() const;
+    std::string controlAddress(unsigned control = 0) const;
     std::string callerAddress(unsigned entry) const;
     std::string targetAddress(unsigned target) const;
     Process &entry(unsigned number);
-    Process &control();
+    Process &control(unsigned number = 0);
     /** Kills entry host @p number and starts it again. */
     void restartEntry(unsigned number);
-    /** Kills the control host and starts it again. */
-    void restartControl();
+    /** Kills all control hosts, calls @p beforeStart with the data folder of each, and starts them again. */
+    void restartControls(const std::function<void(const std::string &)> &beforeStart = {});
 
     /**
      * Applies the next @p version of the configuration, in which all routes lead to @p service and no other service is
-     * listed. Returns the status of the response, or 0.
+     * listed, and the route of reads is of the kind @p readsKind. Returns the status of the response, or 0.
      */
-    unsigned configure(unsigned version, const std::string &service) const;
+    unsigned configure(unsigned version, const std::string &service, const std::string &readsKind = "safe") const;
 
     /** Waits until every entry host sends requests to some target. Returns whether that happened within 5 s. */
     bool waitUntilServing() const;
@@ -148,13 +151,16 @@
                                           const std::string &id,
                                           std::chrono::milliseconds timeout) const;
     std::string logFile(const std::string &name) const;
+    std::string dataFolder(const std::string &name) const;
+    Process startControl(unsigned number);
     Process start(const std::string &role, const std::string &name, unsigned host);
     std::string writeSettings(const std::string &name, unsigned host, bool isControl);
 
     const unsigned m_subnet;
     const std::chrono::milliseconds m_timeout;
+    const unsigned m_controlHosts;
     const support::TemporaryFolder m_folder;
-    Process m_control;
+    std::vector<Process> m_controls;
     std::vector<Process> m_entries;
     mutable std::atomic<unsigned> m_nextRequest{0};
 };
