Apply the retry rules again when a waiting request follows a new configuration

Since a request that waits follows the configuration, also before its second attempt. Whether it may have one was decided by the former route. If the new one is unsafe, a request that the first target may have run was sent to a second one (TWICE), and answered with its success; if it allows fewer attempts, it had more (BUDGET). Found by reading.

--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -381,14 +381,19 @@
         }
     }
 
+    requests::FailedAttempt latestAttempt(const ActiveRequest &request) const
+    {
+        return {*request.service,
+                request.relayOptions.idempotent,
+                request.outcome.run,
+                request.attemptsSent,
+                request.route->maxAttempts,
+                request.relayOptions.deadline - m_dependencies.timers.now()};
+    }
+
     bool mayRetry(const ActiveRequest &request) const
     {
-        const requests::FailedAttempt failed{*request.service,
-                                             request.relayOptions.idempotent,
-                                             request.outcome.run,
-                                             request.attemptsSent,
-                                             request.route->maxAttempts,
-                                             request.relayOptions.deadline - m_dependencies.timers.now()};
+        const auto failed = latestAttempt(request);
         // If no target has received the request, another attempt isn't a retry for them: no retry budget is used.
         return request.attemptsSent == 0 ? requests::canRetry(failed) : m_dependencies.mayRetry(failed);
     }
@@ -432,6 +437,10 @@
                 if (const auto followed = follow(request, core::value(active)); !core::ok(followed)) {
                     return core::error(followed);
                 }
+                // The route may now allow fewer attempts, or none after one that may have run.
+                if (request.attemptsSent > 0 && !requests::canRetry(latestAttempt(request))) {
+                    return *request.outcome.failure;
+                }
             }
             auto assignment = assignInService(request, connection);
             const bool isServiceGone =
