Limit the response that a command of an operator reads

The head is now read first, and a body may have 64 MiB.

tests/processes/endlessresponses.cpp plays both.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <limits>
 
 namespace pimentoshed::http
 {
@@ -20,6 +19,9 @@
 namespace
 {
 
+/** The largest response body: that of the largest configuration file. */
+constexpr std::uint64_t MaxBodyBytes = 64U << 20U;
+
 message::request<message::string_body> makeRequest(const std::string &address, const ClientRequest &request)
 {
     message::request<message::string_body> made;
@@ -61,7 +63,7 @@
     const auto made = makeRequest(address, request);
     beast::flat_buffer buffer;
     message::response_parser<message::string_body> parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.body_limit(MaxBodyBytes);
     if (request.method == "HEAD") {
         parser.skip(true);
     }
@@ -69,10 +71,17 @@
     const auto onRead = [&outcome](const beast::error_code &failure, std::size_t) {
         outcome = failure;
     };
+    // Beast checks a declared length against the limit only if the head is read by itself.
+    const auto onHeaderRead = [&](const beast::error_code &failure, std::size_t) {
+        outcome = failure;
+        if (!failure && !parser.is_done()) {
+            message::async_read(stream, buffer, parser, onRead);
+        }
+    };
     const auto onWritten = [&](const beast::error_code &failure, std::size_t) {
         outcome = failure;
         if (!failure) {
-            message::async_read(stream, buffer, parser, onRead);
+            message::async_read_header(stream, buffer, parser, onHeaderRead);
         }
     };
     stream.async_connect(core::value(endpoint), [&](const beast::error_code &failure) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,7 +31,7 @@
 
 /**
  * Sends @p request to @p address (IP:PORT) on a new connection and returns the response. @p timeout limits the whole
- * call. Errors: SettingInvalid, PeerUnreachable.
+ * call, and a body may have 64 MiB. Errors: SettingInvalid, PeerUnreachable.
  */
 core::Result<ClientAnswer> fetch(const std::string &address, const ClientRequest &request, core::Duration timeout);
 
--- a/tests/processes/endlessresponses.cpp
+++ b/tests/processes/endlessresponses.cpp
@@ -218,3 +218,28 @@
         }
     }
 }
+
+// Guards against a command of an operator that ends with an exception, or takes all memory, because of a faulty server.
+TEST_CASE("a client gives a response up whose body is larger than it takes")
+{
+    const auto address = "127.89.0.100:8080";
+    std::atomic<bool> hasLength{true};
+    const RawTarget server(address, [&hasLength](int descriptor, const std::string & /*head*/) {
+        const std::string head =
+            hasLength ? "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n" : "HTTP/1.1 200 OK\r\n\r\n";
+        const std::string body(1U << 20U, 'x');
+        auto sent = send(descriptor, head.data(), head.size(), MSG_NOSIGNAL);
+        while (sent > 0) {
+            sent = send(descriptor, body.data(), body.size(), MSG_NOSIGNAL);
+        }
+        return false;
+    });
+    for (const bool each : {true, false}) {
+        CAPTURE(each);
+        hasLength = each;
+        const auto answer = http::fetch(address, {"GET", "/", {}, {}}, 10s);
+        REQUIRE_FALSE(core::ok(answer));
+        CHECK(core::error(answer).code == core::ErrorCode::PeerUnreachable);
+        CHECK(core::error(answer).detail.find("body limit exceeded") != std::string::npos);
+    }
+}
