--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -142,6 +142,8 @@
         ConfigurationRef active{};
         const configuration::Route *route = nullptr;
         const configuration::Service *service = nullptr;
+        /** The request's row in the table of requests in progress; none until its deadline is known. */
+        requests::RequestsInProgress::Row *row = nullptr;
         http::RelayOptions relayOptions{};
         core::TimePoint arrival{};
         /** When the caller began to wait, earlier attempts of the caller included. */
@@ -215,6 +217,15 @@
             failed(core::error(deadline));
             return;
         }
+        requests::RequestsInProgress::Row row(m_dependencies.requestsInProgress,
+                                              {.id = m_dependencies.protocolHooks.requestId(exchange),
+                                               .arrival = request.arrival,
+                                               .deadline = core::value(deadline),
+                                               .phase = requests::RequestPhase::Assignment,
+                                               .phaseStart = request.arrival,
+                                               .target = {},
+                                               .service = request.service->name});
+        request.row = &row;
         if (const auto body = prefetchBody(exchange, core::value(deadline)); !core::ok(body)) {
             exchange.closeAfterwards();
             failed(core::error(body));
@@ -408,10 +419,12 @@
         options.passServerErrors =
             !request.relayOptions.idempotent || request.attemptsSent + 1 >= request.route->maxAttempts;
         const auto started = m_dependencies.timers.now();
+        request.row->sendTo(assignment.target->id, request.service->name, started);
         auto result = connection
                           ? http::relayOn(std::move(connection), request.exchange, m_dependencies.connections, options)
                           : http::relay(request.exchange, m_dependencies.connections, options);
         const auto ended = m_dependencies.timers.now();
+        request.row->awaitAssignment(ended);
         m_dependencies.router.release(assignment, {attemptOutcome(result), ended - started, result.signals}, ended);
         m_dependencies.scheduler.notifyCapacity(request.service->name);
         if (result.outcome.failure) {
--- a/src/entry/callerhttphandler.h
+++ b/src/entry/callerhttphandler.h
@@ -10,6 +10,7 @@
 #include "http/connectionpool.h"
 #include "http/protocolhooks.h"
 #include "http/server.h"
+#include "requests/requestsinprogress.h"
 #include "requests/retrypolicy.h"
 #include "requests/stoprule.h"
 #include "routing/router.h"
@@ -44,6 +45,7 @@
     routing::Router &router;
     http::ConnectionPool &connections;
     RequestScheduler &scheduler;
+    requests::RequestsInProgress &requestsInProgress;
     core::TimerService &timers;
     core::RandomSource random;
     /** Returns this host's current record; responses with addresses omit this host once it is stopping. */
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -116,7 +116,7 @@
         }
         const auto remaining = drainRequests();
         if (remaining > 0) {
-            core::log(core::LogLevel::Error, "stop-limit-passed", {{"requests_in_progress", remaining}});
+            logCutRequests(now, remaining);
         }
         shutDown();
         return remaining;
@@ -140,6 +140,27 @@
     }
 
 private:
+    /** Logs that the stop which began at @p start cuts @p count requests, and each of them. */
+    void logCutRequests(core::TimePoint start, std::size_t count) const
+    {
+        core::log(core::LogLevel::Error, "stop-limit-passed", {{"requests_in_progress", count}});
+        const auto now = m_timers.now();
+        const auto milliseconds = [](core::Duration duration) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+        };
+        for (const auto &request : m_requestsInProgress.all()) {
+            core::log(core::LogLevel::Error,
+                      "request-cut",
+                      {{"request", request.id},
+                       {"service", request.service.str()},
+                       {"phase", core::nameOf(requests::RequestPhaseNames, request.phase)},
+                       {"target", request.target ? request.target->str() : std::string()},
+                       {"arrival_after_stop_ms", milliseconds(request.arrival - start)},
+                       {"phase_ms", milliseconds(now - request.phaseStart)},
+                       {"time_left_ms", milliseconds(request.deadline - now)}});
+        }
+    }
+
     core::Status listen()
     {
         m_metrics.beforeExposition([this](telemetry::Registry &metrics) {
@@ -152,6 +173,7 @@
                                                            m_router,
                                                            m_connections,
                                                            m_scheduler,
+                                                           m_requestsInProgress,
                                                            m_timers,
                                                            threadRandom(),
                                                            [this]() {
@@ -370,6 +392,8 @@
     routing::RequestPacer m_requestPacer;
     routing::Router m_router;
     targets::TargetTable m_targets;
+    /** Declared before the pool, whose coroutines remove their rows when the pool ends. */
+    requests::RequestsInProgress m_requestsInProgress;
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     http::ConnectionPool m_connections;
