Keep the outcome of a request that ends while it joins the queue

Cause: RequestScheduler::wait() puts the request into the queue before it registers its waiter. Another thread that removed the ticket in between (stopAt() runs on the main thread, also with one worker; configure(), eviction and scheduling run on other workers) found no waiter and dropped the outcome. Nothing ended the request after that, since it was in no table.

resume() now keeps the outcome for addWaiter(), which takes it instead of waiting. Each ticket leaves the queue once, so each outcome is taken once.

--- a/src/entry/requestscheduler.cpp
+++ b/src/entry/requestscheduler.cpp
@@ -147,27 +147,39 @@
 
 void RequestScheduler::addWaiter(admission::Ticket ticket, Waiter waiter)
 {
-    const core::Lock lock(m_mutex);
-    m_waiters.emplace(ticket, std::move(waiter));
-    if (!std::exchange(m_isTimerRunning, true)) {
-        m_timer = m_timers.after(SchedulePeriod, [this]() {
-            onTimer();
-        });
+    std::optional<Outcome> early;
+    {
+        const core::Lock lock(m_mutex);
+        if (auto found = m_earlyOutcomes.extract(ticket)) {
+            early = std::move(found.mapped());
+        } else {
+            m_waiters.emplace(ticket, std::move(waiter));
+            if (!std::exchange(m_isTimerRunning, true)) {
+                m_timer = m_timers.after(SchedulePeriod, [this]() {
+                    onTimer();
+                });
+            }
+        }
+    }
+    if (early) {
+        waiter(std::move(*early));
     }
 }
 
-void RequestScheduler::resume(admission::Ticket ticket, core::Result<admission::DequeuedRequest> outcome)
+void RequestScheduler::resume(admission::Ticket ticket, Outcome outcome)
 {
     Waiter waiter;
     {
         const core::Lock lock(m_mutex);
-        if (auto found = m_waiters.extract(ticket)) {
-            waiter = std::move(found.mapped());
+        auto found = m_waiters.extract(ticket);
+        if (!found) {
+            // The request has just entered the queue: addWaiter() will take the outcome.
+            m_earlyOutcomes.emplace(ticket, std::move(outcome));
+            return;
         }
+        waiter = std::move(found.mapped());
     }
-    if (waiter) {
-        waiter(std::move(outcome));
-    }
+    waiter(std::move(outcome));
 }
 
 void RequestScheduler::scheduleReady()
--- a/src/entry/requestscheduler.h
+++ b/src/entry/requestscheduler.h
@@ -58,17 +58,18 @@
     std::size_t waitingCount(const core::ServiceName &service) const;
 
 private:
+    using Outcome = core::Result<admission::DequeuedRequest>;
     /** Resumes a waiting coroutine with the result. */
-    using Waiter = std::function<void(core::Result<admission::DequeuedRequest>)>;
+    using Waiter = std::function<void(Outcome)>;
 
     /** Whether a request that may wait until @p deadline could still be waiting when this host ends. */
     bool outlastsHost(core::TimePoint deadline) const;
     core::Result<admission::DequeuedRequest> suspend(http::Exchange &exchange,
                                                      const std::function<void(Waiter)> &registerWaiter);
-    /** Stores @p waiter until its request is scheduled or fails, and starts the timer. */
+    /** Stores @p waiter until its request is scheduled or fails, unless it has already, and starts the timer. */
     void addWaiter(admission::Ticket ticket, Waiter waiter);
-    /** Resumes the coroutine that waits with @p ticket, if any. */
-    void resume(admission::Ticket ticket, core::Result<admission::DequeuedRequest> outcome);
+    /** Resumes the coroutine that waits with @p ticket, or that is about to. Called once for each wait. */
+    void resume(admission::Ticket ticket, Outcome outcome);
     /** Schedules every request that can be scheduled now. */
     void scheduleReady();
     /** Ends requests that can no longer meet their deadline, and schedules others for all services. */
@@ -78,6 +79,8 @@
     admission::Queue m_queue;
     mutable core::RankedMutex m_mutex{core::LockRank::Requests};
     std::unordered_map<admission::Ticket, Waiter> m_waiters;
+    /** Outcomes of queued requests whose waiters have not been added yet. */
+    std::unordered_map<admission::Ticket, Outcome> m_earlyOutcomes;
     /** Services with a scheduled request for which neither complete() nor requeue() has been called yet. */
     std::set<core::ServiceName> m_scheduled;
     /** All configured services. */
