Block the signals of a host before its command reads anything

Cause: SIGTERM, SIGINT and SIGHUP were blocked by runEntryHost() and runControlHost(), after the arguments were parsed and the settings file was read. Until then SIGHUP had its default action.

Evidence: a host that gets SIGHUP while it reads its settings (a FIFO holds it there) ended with 129 in the roles "platform entry" and "platform control".

Each command that runs a host now blocks them before it parses its arguments; commands of operators keep the default actions. A pending SIGHUP makes the host read its settings again once it runs. What is left is the time before main(), in which the dynamic loader runs.

--- a/src/cli/hostcommands.cpp
+++ b/src/cli/hostcommands.cpp
@@ -26,7 +26,7 @@
     return signals;
 }
 
-void blockSignals()
+void blockAwaitedSignals()
 {
     const auto signals = awaitedSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
@@ -140,9 +140,15 @@
 
 } // namespace
 
+void blockSignalsFor(CLI::App &command)
+{
+    command.preparse_callback([](std::size_t) {
+        blockAwaitedSignals();
+    });
+}
+
 ExitCode runControlHost(const control::ControlSettings &settings, const SettingsWatch<control::ControlHost> &watch)
 {
-    blockSignals();
     core::setLogHost(settings.id.str());
     const auto host = control::ControlHost::start(settings);
     if (!core::ok(host)) {
@@ -156,7 +162,6 @@
 
 ExitCode runEntryHost(const entry::EntrySettings &settings, const SettingsWatch<entry::EntryHost> &watch)
 {
-    blockSignals();
     core::setLogHost(settings.id.str());
     const auto host = entry::EntryHost::start(settings);
     if (!core::ok(host)) {
@@ -189,6 +194,7 @@
 void addControlCommand(CLI::App &app, ExitCode &exitCode)
 {
     auto *command = app.add_subcommand("control", "Runs a control host until SIGTERM");
+    blockSignalsFor(*command);
     const auto flags = std::make_shared<ControlFlags>();
     auto *settings = &flags->settings;
     command->add_option("--id", flags->id, "This host's name")->envname("PIMENTOSHED_ID")->required();
@@ -216,6 +222,7 @@
 void addEntryCommand(CLI::App &app, ExitCode &exitCode)
 {
     auto *command = app.add_subcommand("entry", "Runs an entry host until SIGTERM");
+    blockSignalsFor(*command);
     const auto flags = std::make_shared<EntryFlags>();
     auto &settings = flags->settings;
     command->add_option("--id", flags->id, "This host's name")->envname("PIMENTOSHED_ID")->required();
--- a/src/cli/hostcommands.h
+++ b/src/cli/hostcommands.h
@@ -24,9 +24,12 @@
 };
 
 /**
- * Runs a host until SIGTERM or SIGINT. Blocks these signals and SIGHUP, so that it must be called before any thread is
- * started.
+ * Makes @p command block SIGTERM, SIGINT and SIGHUP before it parses its arguments, so that they stay pending until the
+ * host that it runs waits for them. Every command that runs a host needs this.
  */
+void blockSignalsFor(CLI::App &command);
+
+/** Runs a host until SIGTERM or SIGINT. These signals and SIGHUP must be blocked, see blockSignalsFor(). */
 ExitCode runControlHost(const control::ControlSettings &settings,
                         const SettingsWatch<control::ControlHost> &watch = {});
 ExitCode runEntryHost(const entry::EntrySettings &settings, const SettingsWatch<entry::EntryHost> &watch = {});
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -241,6 +241,16 @@
                    logFile(name));
 }
 
+std::string PlatformFleet::entrySettings(unsigned number) const
+{
+    return settingsFile(fmt::format("entry-{}", number));
+}
+
+std::string PlatformFleet::controlSettings(unsigned number) const
+{
+    return settingsFile(fmt::format("control-{}", number));
+}
+
 void PlatformFleet::restartEntry(unsigned number)
 {
     m_entries.at(number).signal(SIGKILL);
@@ -269,6 +279,11 @@
     return core::ok(answer) ? core::value(answer).status : 0;
 }
 
+std::string PlatformFleet::settingsFile(const std::string &name) const
+{
+    return m_folder.path() / (name + ".toml");
+}
+
 std::string PlatformFleet::logFile(const std::string &name) const
 {
     return m_folder.path() / (name + ".log");
@@ -282,7 +297,7 @@
 std::string PlatformFleet::writeSettings(const std::string &name, unsigned host, bool isControl)
 {
     const auto ip = fmt::format("127.{}.0.{}", m_subnet, host);
-    std::string path = m_folder.path() / (name + ".toml");
+    auto path = settingsFile(name);
     std::ofstream file(path);
     std::string seeds;
     for (unsigned i = 0; i < m_controlHosts; ++i) {
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -116,6 +116,9 @@
     std::string targetAddress(unsigned target) const;
     Process &entry(unsigned number);
     Process &control(unsigned number = 0);
+    /** The path of the settings file of entry host @p number or of control host @p number. */
+    std::string entrySettings(unsigned number) const;
+    std::string controlSettings(unsigned number) const;
     /** Kills entry host @p number and starts it again. */
     void restartEntry(unsigned number);
     /** Kills all control hosts, calls @p beforeStart with the data folder of each, and starts them again. */
@@ -150,6 +153,7 @@
                                           const std::string &method,
                                           const std::string &id,
                                           std::chrono::milliseconds timeout) const;
+    std::string settingsFile(const std::string &name) const;
     std::string logFile(const std::string &name) const;
     std::string dataFolder(const std::string &name) const;
     Process startControl(unsigned number);
