End a request that returns to the queue while its wait is ended

Cause: RequestScheduler::scheduleReady() ignored that Queue::requeue() refuses a request whose service was dropped, and put requests back without asking whether they outlast the host. requeue() asked before it put a request back, not after.

A request that returns to the queue now goes through one function, which checks after it is in the queue.

--- a/src/entry/requestscheduler.cpp
+++ b/src/entry/requestscheduler.cpp
@@ -71,10 +71,7 @@
         }
         const auto ticket = core::value(enqueued).ticket;
         addWaiter(ticket, std::move(waiter));
-        // The stop may have begun since the check above.
-        if (outlastsHost(deadline) && m_queue.cancel(ticket)) {
-            resume(ticket, stoppingError());
-        }
+        endIfOutlastsHost(ticket, deadline);
         if (const auto evicted = core::value(enqueued).evicted) {
             resume(*evicted, evictedError());
         }
@@ -90,11 +87,7 @@
             const core::Lock lock(m_mutex);
             m_scheduled.erase(request.service);
         }
-        if (outlastsHost(request.deadline)) {
-            resume(request.ticket, stoppingError());
-        } else if (!m_queue.requeue(request)) {
-            resume(request.ticket, removedError());
-        }
+        returnToQueue(request);
         scheduleReady();
     });
 }
@@ -182,6 +175,22 @@
     waiter(std::move(outcome));
 }
 
+void RequestScheduler::returnToQueue(const admission::DequeuedRequest &request)
+{
+    if (m_queue.requeue(request)) {
+        endIfOutlastsHost(request.ticket, request.deadline);
+    } else {
+        resume(request.ticket, removedError());
+    }
+}
+
+void RequestScheduler::endIfOutlastsHost(admission::Ticket ticket, core::TimePoint deadline)
+{
+    if (outlastsHost(deadline) && m_queue.cancel(ticket)) {
+        resume(ticket, stoppingError());
+    }
+}
+
 void RequestScheduler::scheduleReady()
 {
     while (const auto request = m_queue.dequeue(m_timers.now())) {
@@ -191,7 +200,7 @@
             alreadyScheduled = !m_scheduled.insert(request->service).second;
         }
         if (alreadyScheduled) {
-            m_queue.requeue(*request);
+            returnToQueue(*request);
         } else {
             resume(request->ticket, *request);
         }
--- a/src/entry/requestscheduler.h
+++ b/src/entry/requestscheduler.h
@@ -70,6 +70,10 @@
     void addWaiter(admission::Ticket ticket, Waiter waiter);
     /** Resumes the coroutine that waits with @p ticket, or that is about to. Called once for each wait. */
     void resume(admission::Ticket ticket, Outcome outcome);
+    /** Puts a dequeued request back into the queue, or ends it if it may no longer wait there. */
+    void returnToQueue(const admission::DequeuedRequest &request);
+    /** Ends a queued request that stopAt() did not find in the queue because it was about to enter it. */
+    void endIfOutlastsHost(admission::Ticket ticket, core::TimePoint deadline);
     /** Schedules every request that can be scheduled now. */
     void scheduleReady();
     /** Ends requests that can no longer meet their deadline, and schedules others for all services. */
--- a/tests/entry/requestscheduler.cpp
+++ b/tests/entry/requestscheduler.cpp
@@ -43,6 +43,8 @@
 
     RequestScheduler scheduler;
     std::atomic<unsigned> running{0};
+    /** Whether a request that is scheduled lets the next one be scheduled. */
+    bool completes = true;
 };
 
 /** Lets one request wait @p times in a row, each time until @p duration has passed at the latest. */
@@ -58,7 +60,7 @@
         for (int i = 0; i < times; ++i) {
             const auto scheduled =
                 waiting->scheduler.wait(exchange, Loans, core::steadyNow() + duration, core::Duration{});
-            if (core::ok(scheduled)) {
+            if (core::ok(scheduled) && waiting->completes) {
                 waiting->scheduler.complete(core::value(scheduled));
             }
         }
@@ -116,3 +118,41 @@
     waiting->scheduler.configure(configurationOf({}));
     CHECK(endsWithin(*waiting, Margin));
 }
+
+// Guards against a request whose caller gets no answer because it was out of the queue for a moment.
+TEST_CASE("RequestScheduler: a request that returns to the queue while its wait is ended doesn't wait for ever")
+{
+    constexpr int Rounds = 500;
+    constexpr int Requests = 8;
+    const bool isStop = GENERATE(true, false);
+    CAPTURE(isStop);
+    core::WorkerPool pool(3);
+    core::TimerService timers(pool.context());
+    for (int round = 0; round < Rounds; ++round) {
+        CAPTURE(round);
+        const auto waiting = std::make_shared<Waiting>(timers);
+        waiting->completes = false;
+        for (int i = 0; i < Requests; ++i) {
+            spawnWaits(pool, waiting, 60s, 1);
+        }
+        std::atomic<bool> isOver{false};
+        std::thread notifier([&waiting, &isOver]() {
+            while (!isOver) {
+                waiting->scheduler.notifyCapacity(Loans);
+            }
+        });
+        // One request is scheduled and keeps the others from being so.
+        while (waiting->running == Requests) {
+            std::this_thread::sleep_for(20us);
+        }
+        if (isStop) {
+            waiting->scheduler.stopAt(core::steadyNow() + 1s);
+        } else {
+            waiting->scheduler.configure(configurationOf({}));
+        }
+        const bool hasEnded = endsWithin(*waiting, Margin);
+        isOver = true;
+        notifier.join();
+        REQUIRE(hasEnded);
+    }
+}
