Read on behind a response that closes the connection

What callers saw: requests that a target had run ended with a part of their answer, around SIGTERM to an entry host and with answers that end with their connection.

Cause: a host that closes a connection after its answer closed the socket while bytes of further requests were unread or on their way. The system resets such a connection and drops what it has not sent yet. Only a request with an unread body was read on.

Change: after each response that closes the connection, the host closes its sending half and reads and discards what still comes until the caller closes, as it did behind unread bodies, with the same limits of time and bytes.

--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -171,8 +171,8 @@
         }
         m_serverState->handler(exchange);
         --m_serverState->inProgress;
-        m_hasUnread = !parser.is_done();
-        return !exchange.willClose() && !m_serverState->draining;
+        m_hasUnread = exchange.willClose() || m_serverState->draining;
+        return !m_hasUnread;
     }
 
     bool awaitFirstByte(const Yield &yield)
@@ -228,7 +228,7 @@
     std::shared_ptr<ServerState> m_serverState;
     /** Whether the connection waits for the first byte of a request. */
     bool m_isIdle = false;
-    /** Whether the caller may still be sending a message that is not going to be read. */
+    /** Whether the caller may still be sending bytes, behind a response, that are not going to be used. */
     bool m_hasUnread = false;
 };
 
--- a/tests/http/server.cpp
+++ b/tests/http/server.cpp
@@ -60,6 +60,8 @@
 
     std::shared_ptr<Server> server;
     std::atomic<unsigned> pauseMillis{0};
+    /** Bytes that each response's body has in addition. */
+    std::atomic<std::size_t> paddingBytes{0};
 
 private:
     void answer(Exchange &exchange)
@@ -71,6 +73,7 @@
         timer.async_wait(exchange.yield()[ignored]);
         Reply reply;
         reply.body = core::ok(body) ? core::value(body) : core::describe(core::error(body));
+        reply.body.append(paddingBytes, 'x');
         exchange.send(reply);
     }
 };
@@ -194,6 +197,28 @@
     }
 }
 
+// Guards against closing a connection with unread requests behind the answered one, which resets it.
+TEST_CASE("a response that closes the connection arrives whole although further requests arrive behind it")
+{
+    EchoServer echo;
+    echo.server->closeAfterAnswers();
+    for (const std::size_t bytes : {1'500UL, 300'000UL, 4'000'000UL}) {
+        echo.paddingBytes = bytes;
+        auto caller = echo.caller();
+        caller.write(Get);
+        // Time for the server to answer, and to close the connection if it does so at once.
+        std::this_thread::sleep_for(milliseconds(100));
+        CAPTURE(bytes);
+        CHECK(caller.write(Get + Get));
+        std::this_thread::sleep_for(milliseconds(50));
+        CHECK(caller.write(Get));
+        const auto answer = caller.readAll();
+        CHECK_FALSE(caller.wasReset());
+        CHECK(answer.size() == answer.find("\r\n\r\n") + 4 + bytes);
+        CHECK(answer.find("Connection: close") != std::string::npos);
+    }
+}
+
 TEST_CASE("connections may end while drain() iterates over them")
 {
     // drain() may hold the last reference to a connection. Releasing it under the server's mutex locked a second mutex
