End a stop when it was announced to end

What callers saw: nothing yet; the log of a host that ends by SIGKILL lacks the line with the requests that it cut.

Cause: a stopping host counts with its end at 0.95 of the grace period from the signal, but waited for a second period of its own after it had stopped accepting. What held it up before that moved its end.

Evidence: a host that is held up for 600 ms at 4.4 s ended 6.21 s after the signal, of 6 s.

--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -357,8 +357,8 @@
     }
 
     /**
-     * Closes idle connections of callers and waits for the others up to the stop limit. Returns the number of requests
-     * still in progress then.
+     * Closes idle connections of callers and waits for the others until the end of the stop. Returns the number of
+     * requests still in progress then.
      */
     std::size_t drainRequests()
     {
@@ -373,7 +373,7 @@
                 done->set_value();
             }
         };
-        const auto limit = m_timers.after(m_settings.stopLimit, end);
+        const auto limit = m_timers.after(m_stop.end - m_timers.now(), end);
         m_callerServer->drain(end);
         done->get_future().wait();
         return m_callerServer->inProgress();
