--- a/tests/processes/soak.cpp
+++ b/tests/processes/soak.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak.h"
 #include "soak/plan.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace pimentoshed;
@@ -63,6 +64,13 @@
         records.disturbances = {{Start, Start + 5s}};
         CHECK(findsOnly(records, Promise::NotRunIsTrue));
     }
+    SECTION("a request behind a response that closes the connection, which runs")
+    {
+        records.requests = {makeRequest(Outcome::BehindClose)};
+        records.runs = {makeRun()};
+        records.disturbances = {{Start, Start + 5s}};
+        CHECK(findsOnly(records, Promise::NotRunIsTrue));
+    }
     SECTION("an answer that was ready and did not reach its caller")
     {
         records.requests = {makeRequest(Outcome::Failed)};
@@ -131,6 +139,22 @@
     }
 }
 
+TEST_CASE("soak: stops of entry hosts in series overlap and leave most hosts in service")
+{
+    const auto size = fleetSize(60);
+    const auto plan = makePlan(7, 600s, size);
+    unsigned overlapping = 0;
+    for (const auto &event : plan) {
+        if (event.kind == EventKind::ReloadAndStopEntry) {
+            overlapping += static_cast<unsigned>(std::count_if(plan.begin(), plan.end(), [&event](const Event &other) {
+                return other.kind == event.kind && other.subject != event.subject && other.at >= event.at
+                       && other.at < event.at + 2s;
+            }));
+        }
+    }
+    CHECK(overlapping > 5);
+}
+
 TEST_CASE("soak: no promise is broken in a short run with a fixed seed")
 {
     SoakSettings settings;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -31,6 +31,7 @@
 constexpr unsigned TargetPort = 9000;
 constexpr unsigned OperatorPort = 7001;
 constexpr unsigned RpcPort = 7002;
+constexpr auto ReloadGap = 40ms;
 /** A full disk still has room for a part of a record. */
 constexpr rlim_t BytesLeftOnFullDisk = 100;
 
@@ -302,6 +303,18 @@
         stop(member);
         restartAfter(member, event.length);
         break;
+    case EventKind::ReloadEntry:
+    case EventKind::ReloadControl:
+        reload(member);
+        break;
+    case EventKind::ReloadAndStopEntry:
+    case EventKind::ReloadAndStopControl:
+        reload(member);
+        beginStop(member);
+        reload(member);
+        awaitStop(member);
+        restartAfter(member, event.length);
+        break;
     case EventKind::FreezeEntry:
     case EventKind::FreezeControl:
     case EventKind::FreezeTarget:
@@ -329,6 +342,16 @@
     }
 }
 
+/** Sends SIGHUP a few times. */
+void Fleet::reload(const Member &member)
+{
+    constexpr unsigned Signals = 3;
+    for (unsigned i = 0; i < Signals; ++i) {
+        member.process.signal(SIGHUP);
+        std::this_thread::sleep_for(ReloadGap);
+    }
+}
+
 void Fleet::restartAfter(Member &member, core::Duration length)
 {
     std::this_thread::sleep_for(length);
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -90,6 +90,7 @@
     void awaitStop(Member &member);
     void stop(Member &member);
     void runOn(Member &member, const Event &event);
+    static void reload(const Member &member);
     void restartAfter(Member &member, core::Duration length);
     void freeze(Member &member, core::Duration length);
     void fillDisk(Member &member, core::Duration length);
--- a/tests/soak/operators.cpp
+++ b/tests/soak/operators.cpp
@@ -39,8 +39,24 @@
 
 } // namespace
 
-Operator::Operator(const Fleet &fleet, std::uint64_t seed)
+OperatorHabit calmOperator()
+{
+    return {"soak", true, [](const core::RandomSource &random) {
+                return 500ms + 1ms * core::randomBelow(random, 3000);
+            }};
+}
+
+OperatorHabit hastyOperator()
+{
+    constexpr unsigned SeriesLength = 8;
+    return {"series", false, [](const core::RandomSource &random) {
+                return core::randomBelow(random, SeriesLength) == 0 ? 4000ms : 100ms;
+            }};
+}
+
+Operator::Operator(const Fleet &fleet, OperatorHabit habit, std::uint64_t seed)
     : m_fleet(fleet)
+    , m_habit(std::move(habit))
     , m_random(core::seededRandom(seed))
     , m_thread([this]() {
         run();
@@ -76,12 +92,12 @@
 void Operator::run()
 {
     while (!m_isStopping) {
-        if (core::randomBelow(m_random, 3) == 0) {
+        if (m_habit.changesDomains && core::randomBelow(m_random, 3) == 0) {
             changeDomain();
         } else {
             applyFile();
         }
-        std::this_thread::sleep_for(500ms + 1ms * core::randomBelow(m_random, 3000));
+        std::this_thread::sleep_for(m_habit.pause(m_random));
     }
     if (m_outDomain) {
         setDomainOut(*m_outDomain, false);
@@ -130,7 +146,7 @@
 
 bool Operator::send(const std::string &path, const std::string &body)
 {
-    const auto id = fmt::format("soak-{}", ++m_changeCount);
+    const auto id = fmt::format("{}-{}", m_habit.name, ++m_changeCount);
     for (unsigned attempt = 0; attempt < MaxAttempts; ++attempt) {
         const auto control = static_cast<unsigned>(core::randomBelow(m_random, m_fleet.size().control));
         const auto answer =
--- a/tests/soak/operators.h
+++ b/tests/soak/operators.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * An operator that changes the configuration for the whole soak, and an observer that reads every host's state.
+ * Operators that change the configuration for the whole soak, and an observer that reads every host's state.
  */
 #pragma once
 
@@ -9,19 +9,36 @@
 #include "soak/records.h"
 
 #include <atomic>
+#include <functional>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <thread>
 #include <vector>
 
 namespace pimentoshed::soak
 {
 
+/** What an operator does. */
+struct OperatorHabit {
+    /** Prefix of the ids of its changes. */
+    std::string name;
+    /** Whether it takes failure domains out and returns them. */
+    bool changesDomains = false;
+    /** Time between two changes. */
+    std::function<std::chrono::milliseconds(const core::RandomSource &)> pause;
+};
+
+/** Changes now and then, failure domains too. */
+OperatorHabit calmOperator();
+/** Applies files in series. */
+OperatorHabit hastyOperator();
+
 /** Applies files, and takes failure domains out and returns them, at any control host. Thread-safe. */
 class Operator
 {
 public:
-    Operator(const Fleet &fleet, std::uint64_t seed);
+    Operator(const Fleet &fleet, OperatorHabit habit, std::uint64_t seed);
     ~Operator();
     Operator(const Operator &) = delete;
     Operator &operator=(const Operator &) = delete;
@@ -41,6 +58,7 @@
     bool setDomainOut(const std::string &domain, bool out);
 
     const Fleet &m_fleet;
+    const OperatorHabit m_habit;
     const core::RandomSource m_random;
     std::atomic<bool> m_isStopping{false};
     unsigned m_changeCount = 0;
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -20,6 +20,16 @@
 constexpr core::Duration CalmTime = 16s;
 constexpr unsigned MaxFaultsPerBurst = 4;
 constexpr unsigned MaxPlannedPerCycle = 3;
+/** Planned work that is drawn by itself; the rest comes in series. */
+constexpr std::array SinglePlannedKinds{EventKind::StopEntry, EventKind::StopControl, EventKind::StopTarget};
+constexpr std::array SeriesKinds{EventKind::StopEntry,
+                                 EventKind::ReloadAndStopEntry,
+                                 EventKind::ReloadAndStopControl,
+                                 EventKind::ReloadEntry,
+                                 EventKind::ReloadControl};
+constexpr unsigned SeriesPerCycle = 2;
+/** One in this many entry hosts may be in one series, so that others always serve. */
+constexpr unsigned SeriesDivisor = 3;
 
 unsigned subjectCount(EventKind kind, const FleetSize &size)
 {
@@ -45,7 +55,9 @@
         , m_size(size)
     {
         for (const auto &row : EventKindNames) {
-            (isPlannedWork(row.value) ? m_planned : m_faults).push_back(row.value);
+            if (!isPlannedWork(row.value)) {
+                m_faults.push_back(row.value);
+            }
         }
     }
 
@@ -59,7 +71,7 @@
             plan.push_back(event);
         }
         for (auto count = core::randomBelow(m_random, MaxPlannedPerCycle + 1); count > 0; --count) {
-            plan.push_back(draw(m_planned, start + millis(0, 16000), millis(200, 2000)));
+            plan.push_back(draw(SinglePlannedKinds, start + millis(0, 16000), millis(200, 2000)));
         }
         return end + CalmTime;
     }
@@ -70,7 +82,8 @@
         return std::chrono::milliseconds(from + core::randomBelow(m_random, until - from));
     }
 
-    Event draw(const std::vector<EventKind> &kinds, core::Duration at, core::Duration length)
+    template<typename Kinds>
+    Event draw(const Kinds &kinds, core::Duration at, core::Duration length)
     {
         const auto kind = kinds[core::randomBelow(m_random, kinds.size())];
         return {kind, static_cast<unsigned>(core::randomBelow(m_random, subjectCount(kind, m_size))), at, length};
@@ -79,7 +92,47 @@
     core::RandomSource m_random;
     const FleetSize m_size;
     std::vector<EventKind> m_faults;
-    std::vector<EventKind> m_planned;
+};
+
+/** Draws series of planned work, with a source of its own so that the rest of a seed's schedule stays the same. */
+class SeriesPlanner
+{
+public:
+    SeriesPlanner(std::uint64_t seed, const FleetSize &size)
+        : m_random(core::seededRandom(~seed))
+        , m_size(size)
+    {
+    }
+
+    /** Adds the series of the cycle from @p start until @p end. */
+    void addCycle(core::Duration start, core::Duration end, std::vector<Event> &plan)
+    {
+        const auto cycle = std::chrono::duration_cast<std::chrono::milliseconds>(end - start).count();
+        for (unsigned i = 0; i < SeriesPerCycle; ++i) {
+            addSeries(start + millis(0, static_cast<unsigned>(cycle)), plan);
+        }
+    }
+
+private:
+    core::Duration millis(unsigned from, unsigned until)
+    {
+        return std::chrono::milliseconds(from + core::randomBelow(m_random, until - from));
+    }
+
+    void addSeries(core::Duration at, std::vector<Event> &plan)
+    {
+        const auto kind = SeriesKinds[core::randomBelow(m_random, SeriesKinds.size())];
+        const auto subjects = subjectCount(kind, m_size);
+        const auto first = static_cast<unsigned>(core::randomBelow(m_random, subjects));
+        const auto count = subjectOf(kind) == SubjectKind::EntryHost ? std::max(1U, subjects / SeriesDivisor) : 1;
+        const auto gap = millis(100, 1500);
+        for (unsigned i = 0; i < count; ++i) {
+            plan.push_back({kind, (first + i) % subjects, at + i * gap, millis(200, 2000)});
+        }
+    }
+
+    core::RandomSource m_random;
+    const FleetSize m_size;
 };
 
 } // namespace
@@ -91,6 +144,8 @@
     case EventKind::FreezeEntry:
     case EventKind::CutCallers:
     case EventKind::StopEntry:
+    case EventKind::ReloadEntry:
+    case EventKind::ReloadAndStopEntry:
         return SubjectKind::EntryHost;
     case EventKind::KillTarget:
     case EventKind::FreezeTarget:
@@ -107,7 +162,7 @@
 
 bool isPlannedWork(EventKind kind)
 {
-    return kind == EventKind::StopEntry || kind == EventKind::StopControl || kind == EventKind::StopTarget;
+    return kind >= EventKind::StopEntry;
 }
 
 FleetSize fleetSize(unsigned processes)
@@ -123,9 +178,12 @@
 std::vector<Event> makePlan(std::uint64_t seed, core::Duration length, const FleetSize &size)
 {
     CyclePlanner planner(seed, size);
+    SeriesPlanner seriesPlanner(seed, size);
     std::vector<Event> plan;
     for (core::Duration at = FirstEvent; at < length;) {
-        at = planner.addCycle(at, plan);
+        const auto next = planner.addCycle(at, plan);
+        seriesPlanner.addCycle(at, next, plan);
+        at = next;
     }
     std::erase_if(plan, [length](const Event &event) {
         return event.at + event.length + QuietEnd > length;
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * The schedule of a soak: faults in bursts, with calm times between them, and planned work at any time.
+ * The schedule of a soak: faults in bursts, with calm times between them, and planned work at any time, alone and in
+ * series that overlap.
  */
 #pragma once
 
@@ -36,6 +37,11 @@
     StopEntry,
     StopControl,
     StopTarget,
+    ReloadEntry,
+    ReloadControl,
+    /** Stops the process while it gets SIGHUP before and after SIGTERM. */
+    ReloadAndStopEntry,
+    ReloadAndStopControl,
 };
 
 inline constexpr std::array EventKindNames{
@@ -57,6 +63,10 @@
     core::EnumName<EventKind>{EventKind::StopEntry, "stop-entry"},
     core::EnumName<EventKind>{EventKind::StopControl, "stop-control"},
     core::EnumName<EventKind>{EventKind::StopTarget, "stop-target"},
+    core::EnumName<EventKind>{EventKind::ReloadEntry, "reload-entry"},
+    core::EnumName<EventKind>{EventKind::ReloadControl, "reload-control"},
+    core::EnumName<EventKind>{EventKind::ReloadAndStopEntry, "reload-and-stop-entry"},
+    core::EnumName<EventKind>{EventKind::ReloadAndStopControl, "reload-and-stop-control"},
 };
 
 /** What an event affects. */
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -91,7 +91,8 @@
         if (!request.isIdempotent && runs > 1) {
             addRequest(Promise::AtMostOnce, request, run);
         }
-        if (request.outcome == Outcome::RefusedAsNotRun && runs > 0) {
+        const bool isNotRun = request.outcome == Outcome::RefusedAsNotRun || request.outcome == Outcome::BehindClose;
+        if (isNotRun && runs > 0) {
             addRequest(Promise::NotRunIsTrue, request, run);
         }
         if (!isUndisturbed(request.time)) {
--- a/tests/soak/records.h
+++ b/tests/soak/records.h
@@ -28,6 +28,8 @@
     Cut,
     /** A kept connection was closed, which may cross the request. */
     KeptConnectionClosed,
+    /** Sent behind a response that closes the connection, or after that: such a request counts as not read. */
+    BehindClose,
     /** A successful response that is not that of a target to this request. */
     Wrong,
 };
@@ -38,6 +40,7 @@
     core::EnumName<Outcome>{Outcome::Failed, "failed"},
     core::EnumName<Outcome>{Outcome::Cut, "cut"},
     core::EnumName<Outcome>{Outcome::KeptConnectionClosed, "kept-connection-closed"},
+    core::EnumName<Outcome>{Outcome::BehindClose, "behind-close"},
     core::EnumName<Outcome>{Outcome::Wrong, "wrong"},
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -48,7 +48,8 @@
         }
         m_start = core::steadyNow();
         m_observer.emplace(m_fleet);
-        m_operator.emplace(m_fleet, m_settings.seed);
+        m_operator.emplace(m_fleet, calmOperator(), m_settings.seed);
+        m_hastyOperator.emplace(m_fleet, hastyOperator(), ~m_settings.seed);
         m_callers.emplace(m_fleet, callerCount(), m_settings.seed);
         play(plan);
         recover();
@@ -132,6 +133,7 @@
     void recover()
     {
         m_operator->stop();
+        m_hastyOperator->stop();
         m_fleet.healAll();
         const auto serves = [this]() {
             return isServing();
@@ -164,11 +166,19 @@
         return hosts;
     }
 
+    std::vector<AcknowledgedChange> changes() const
+    {
+        auto changes = m_operator->changes();
+        const auto more = m_hastyOperator->changes();
+        changes.insert(changes.end(), more.begin(), more.end());
+        return changes;
+    }
+
     /** Whether every control host has every acknowledged change. */
     bool hasAllChanges() const
     {
         std::uint64_t newest = 0;
-        for (const auto &change : m_operator->changes()) {
+        for (const auto &change : changes()) {
             newest = std::max(newest, change.revision);
         }
         std::vector<std::uint64_t> revisions(m_fleet.size().control);
@@ -196,7 +206,7 @@
         Records records;
         records.requests = m_callers->requests();
         m_fleet.readJournals(records);
-        records.changes = m_operator->changes();
+        records.changes = changes();
         records.outages = m_operator->outages();
         records.reads = m_observer->reads();
         records.disturbances = m_fleet.disturbances();
@@ -230,16 +240,20 @@
                 ++result.requests;
                 result.answered += request.outcome == Outcome::Answered ? 1 : 0;
                 result.refused += request.outcome == Outcome::RefusedAsNotRun ? 1 : 0;
+                result.behindClose += request.outcome == Outcome::BehindClose ? 1 : 0;
             }
-            result.changes = m_operator->changes().size();
+            result.changes = changes().size();
         }
-        print(fmt::format("seed {}: {} requests, {} answered, {} refused as not run, {} changes, {} promises broken\n",
-                          m_settings.seed,
-                          result.requests,
-                          result.answered,
-                          result.refused,
-                          result.changes,
-                          result.broken.size()));
+        print(fmt::format(
+            "seed {}: {} requests, {} answered, {} refused as not run, {} behind a close, {} changes, {} promises "
+            "broken\n",
+            m_settings.seed,
+            result.requests,
+            result.answered,
+            result.refused,
+            result.behindClose,
+            result.changes,
+            result.broken.size()));
         return result;
     }
 
@@ -249,6 +263,7 @@
     core::TimePoint m_start{};
     std::optional<Observer> m_observer;
     std::optional<Operator> m_operator;
+    std::optional<Operator> m_hastyOperator;
     std::optional<Callers> m_callers;
     std::vector<BrokenPromise> m_broken;
     std::string m_notServing;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -31,6 +31,8 @@
     std::size_t requests = 0;
     std::size_t answered = 0;
     std::size_t refused = 0;
+    /** Requests that were sent behind a response that closed the connection. */
+    std::size_t behindClose = 0;
     std::size_t changes = 0;
 };
 
