Test that a stopping host cuts no pipelined reads when its targets turn slow

Processes that tests start no longer inherit the test's connections, which kept a closed connection open at the peer.

--- a/tests/processes/harness.cpp
+++ b/tests/processes/harness.cpp
@@ -47,6 +47,8 @@
             &actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, OwnerMayWrite);
         posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     }
+    // A process that inherits a connection of the test would keep it open after the test has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failure = posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0) {
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -94,6 +94,11 @@
     m_pool.stop();
 }
 
+void PlatformTarget::setProcessingTime(core::Duration processingTime)
+{
+    m_processingTime = processingTime;
+}
+
 void PlatformTarget::setService(std::string service)
 {
     m_service = std::move(service);
@@ -167,7 +172,7 @@
         const std::lock_guard lock(m_mutex);
         m_received.push_back(request);
     }
-    const auto wait = request.isProbe() ? m_probeTime : m_processingTime;
+    const auto wait = request.isProbe() ? m_probeTime : m_processingTime.load();
     if (wait > core::Duration{}) {
         boost::asio::steady_timer timer(m_pool.context(), std::chrono::duration_cast<std::chrono::microseconds>(wait));
         boost::system::error_code ignored;
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -51,6 +51,9 @@
     PlatformTarget(const PlatformTarget &) = delete;
     PlatformTarget &operator=(const PlatformTarget &) = delete;
 
+    /** Responds to requests that arrive from now on after @p processingTime. */
+    void setProcessingTime(core::Duration processingTime);
+
     /** Sets the service that this target announces from now on. */
     void setService(std::string service);
 
@@ -79,7 +82,7 @@
 
     const std::string m_id;
     const std::string m_address;
-    const core::Duration m_processingTime;
+    std::atomic<core::Duration> m_processingTime;
     const core::Duration m_probeTime;
     const std::uint64_t m_incarnation;
     std::string m_service = DefaultService;
