--- a/src/entry/requestscheduler.cpp
+++ b/src/entry/requestscheduler.cpp
@@ -140,23 +140,22 @@
 
 void RequestScheduler::addWaiter(admission::Ticket ticket, Waiter waiter)
 {
-    std::optional<Outcome> early;
+    Outcome early = core::Error{};
     {
         const core::Lock lock(m_mutex);
-        if (auto found = m_earlyOutcomes.extract(ticket)) {
-            early = std::move(found.mapped());
-        } else {
+        auto found = m_earlyOutcomes.extract(ticket);
+        if (!found) {
             m_waiters.emplace(ticket, std::move(waiter));
             if (!std::exchange(m_isTimerRunning, true)) {
                 m_timer = m_timers.after(SchedulePeriod, [this]() {
                     onTimer();
                 });
             }
+            return;
         }
+        early = std::move(found.mapped());
     }
-    if (early) {
-        waiter(std::move(*early));
-    }
+    waiter(std::move(early));
 }
 
 void RequestScheduler::resume(admission::Ticket ticket, Outcome outcome)
