--- a/tests/processes/pipelinedstop.cpp
+++ b/tests/processes/pipelinedstop.cpp
@@ -292,14 +292,16 @@
     const auto run = target.received();
     std::size_t whole = 0;
     for (const auto &caller : callers) {
-        std::size_t lost = 0;
+        std::vector<std::string> lost;
         for (const auto &[id, answer] : caller.answers) {
             const bool isWhole = answer.isWhole && answer.status == 200 && answer.bytes == bytesOf(id);
             whole += isWhole ? 1 : 0;
-            lost += run.count(id) > 0 && !isWhole ? 1 : 0;
+            if (run.count(id) > 0 && !isWhole) {
+                lost.push_back(fmt::format("{}: {} bytes", id, answer.bytes));
+            }
         }
-        CAPTURE(caller.name(), caller.answers.size());
-        CHECK(lost == 0);
+        CAPTURE(caller.name(), caller.answers.size(), lost);
+        CHECK(lost.empty());
     }
     CHECK(link.resetsAfterAnswer() == 0);
     CHECK(whole > 200);
