Close a connection with the response to a request that arrived before the stop, too

The response to a request that had arrived before SIGTERM left its connection open. Where such a response comes right before the host closes its idle connections, a further request of the caller resets it.

Cause: whether a connection closes was decided when a request arrived. It is now decided when the head of its response is made, so that each response after SIGTERM announces the end of its connection.

--- a/src/http/answerwriter.cpp
+++ b/src/http/answerwriter.cpp
@@ -41,7 +41,7 @@
     if (m_framing == BodyFraming::Close || !m_exchange.request().keep_alive()) {
         m_exchange.closeAfterwards();
     }
-    if (m_exchange.willClose()) {
+    if (m_exchange.decideClose()) {
         forwarded.set(message::field::connection, "close");
     } else if (isOldVersion) {
         forwarded.set(message::field::connection, "keep-alive");
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -153,7 +153,7 @@
     }
     head.set(beast::http::field::content_length, std::to_string(reply.body.size()));
     m_willClose = m_willClose || !m_parser.is_done() || !request().keep_alive();
-    if (m_willClose) {
+    if (decideClose()) {
         head.set(beast::http::field::connection, "close");
     } else if (request().version() < HttpVersion) {
         head.set(beast::http::field::connection, "keep-alive");
@@ -174,6 +174,17 @@
     m_willClose = true;
 }
 
+void Exchange::closeAfterwardsIf(std::function<bool()> isClosing)
+{
+    m_isClosing = std::move(isClosing);
+}
+
+bool Exchange::decideClose()
+{
+    m_willClose = m_willClose || (m_isClosing && m_isClosing());
+    return m_willClose;
+}
+
 bool Exchange::willClose() const
 {
     return m_willClose;
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -16,6 +16,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -85,6 +86,10 @@
 
     /** Makes the connection close after this exchange. */
     void closeAfterwards();
+    /** Makes the connection close after this exchange if @p isClosing returns true when the response's head is made. */
+    void closeAfterwardsIf(std::function<bool()> isClosing);
+    /** Decides for the head of the response whether the connection is to be closed after it, and returns that. */
+    bool decideClose();
     /** Whether the connection is to be closed after this exchange. */
     bool willClose() const;
     /** Resets the connection, so that the caller can't take a truncated response for a complete one. */
@@ -103,6 +108,7 @@
     RequestBody m_body;
     std::optional<RequestHead> m_forwardHead;
     bool m_expectsContinue;
+    std::function<bool()> m_isClosing;
     bool m_willClose = false;
 };
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -55,7 +55,7 @@
     /** Returns the bound address. It differs from the configured one if that has port 0. */
     std::string address() const;
 
-    /** Makes each connection close after the next request that begins on it. Connections are still accepted. */
+    /** Makes each connection close after its next response. Connections are still accepted. */
     void closeAfterAnswers();
 
     /** Stops accepting and closes the connections on which no request is in progress. */
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -33,7 +33,7 @@
 
     const Handler handler;
     const ServerLimits limits;
-    /** Whether each connection is closed after the next request that begins on it. */
+    /** Whether each connection is closed after its next response. */
     std::atomic<bool> closing{false};
     /** Whether connections are closed as soon as no request is in progress on them. */
     std::atomic<bool> draining{false};
@@ -166,9 +166,9 @@
         ++m_serverState->inProgress;
         m_stream.expires_never();
         Exchange exchange(m_stream, m_buffer, parser, yield);
-        if (m_serverState->closing) {
-            exchange.closeAfterwards();
-        }
+        exchange.closeAfterwardsIf([this]() {
+            return m_serverState->closing.load();
+        });
         m_serverState->handler(exchange);
         --m_serverState->inProgress;
         m_hasUnread = exchange.willClose() || m_serverState->draining;
--- a/tests/http/server.cpp
+++ b/tests/http/server.cpp
@@ -197,6 +197,26 @@
     }
 }
 
+// Guards against a connection that looks as if it could be kept, and whose last answer a further request then resets.
+TEST_CASE("the response to a request that arrived before closeAfterAnswers() closes its connection too")
+{
+    EchoServer echo;
+    echo.pauseMillis = 300;
+    echo.paddingBytes = 300'000;
+    auto caller = echo.caller();
+    caller.write(Get);
+    std::this_thread::sleep_for(milliseconds(100));
+    echo.server->closeAfterAnswers();
+    std::this_thread::sleep_for(milliseconds(500));
+    echo.server->drain();
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK(caller.write(Get));
+    const auto answer = caller.readAll();
+    CHECK_FALSE(caller.wasReset());
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.size() == answer.find("\r\n\r\n") + 4 + echo.paddingBytes);
+}
+
 // Guards against closing a connection with unread requests behind the answered one, which resets it.
 TEST_CASE("a response that closes the connection arrives whole although further requests arrive behind it")
 {
