Send a response without a length in chunks, so that its end is never taken for complete

Cause: a response that ends with its target's connection was relayed so that it ends with the caller's. If the process ends, the system closes that connection regularly.

Change: to a caller that uses HTTP/1.1 such a response goes out in chunks, whose last one marks its end, and its connection can be kept. To one that uses HTTP/1.0 it still ends with the connection, which the system now resets unless the response was written whole.

--- a/src/http/answerwriter.cpp
+++ b/src/http/answerwriter.cpp
@@ -26,7 +26,8 @@
 void AnswerWriter::head(const AnswerHead &head, BodyFraming framing)
 {
     const bool isOldVersion = m_exchange.request().version() < Version11;
-    m_framing = isOldVersion && framing == BodyFraming::LastChunk ? BodyFraming::Close : framing;
+    const bool isUnsized = framing == BodyFraming::LastChunk || framing == BodyFraming::Close;
+    m_framing = !isUnsized ? framing : isOldVersion ? BodyFraming::Close : BodyFraming::LastChunk;
     AnswerHead forwarded(head);
     removeHopByHopHeaders(forwarded);
     forwarded.version(Version11);
--- a/src/http/answerwriter.h
+++ b/src/http/answerwriter.h
@@ -38,8 +38,9 @@
     AnswerWriter(Exchange &exchange, StallBudget &budget, Watchdog &watchdog);
 
     /**
-     * Encodes the target's @p head for the caller. @p framing is how the target marks the end of the body. If the
-     * caller uses HTTP/1.0, a chunked body ends by closing the connection instead.
+     * Encodes the target's @p head for the caller. @p framing is how the target marks the end of the body. A body
+     * without a length is sent in chunks, because only their last one shows that it is complete; to a caller that uses
+     * HTTP/1.0, it ends by closing the connection.
      */
     void head(const AnswerHead &head, BodyFraming framing);
     /** Appends @p bytes of the body. */
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -190,11 +190,16 @@
     return m_willClose;
 }
 
+void Exchange::resetIfCut(bool isEnabled)
+{
+    beast::error_code ignored;
+    m_stream.socket().set_option(boost::asio::socket_base::linger(isEnabled, 0), ignored);
+}
+
 void Exchange::abort()
 {
     m_willClose = true;
-    beast::error_code ignored;
-    m_stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    resetIfCut(true);
     m_stream.close();
 }
 
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -92,6 +92,11 @@
     bool decideClose();
     /** Whether the connection is to be closed after this exchange. */
     bool willClose() const;
+    /**
+     * Whether the system resets the connection instead of closing it if this process ends or closes it early. For a
+     * response that ends with its connection, which would look complete otherwise.
+     */
+    void resetIfCut(bool isEnabled);
     /** Resets the connection, so that the caller can't take a truncated response for a complete one. */
     void abort();
 
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -408,9 +408,14 @@
                                                : BodyFraming::Length;
     }
     writer.head(m_answerParser->get(), framing);
+    const bool endsWithConnection = writer.framing() == BodyFraming::Close;
+    if (endsWithConnection) {
+        m_exchange.resetIfCut(true);
+    }
     const bool isRelayed = relayBody(writer) && writer.flush(m_yield);
     m_sentToCaller = writer.hasStarted();
     if (isRelayed && !m_failure) {
+        m_exchange.resetIfCut(false);
         m_canReuse = m_answerParser->keep_alive() && m_connection->buffer.size() == 0;
         return;
     }
@@ -421,7 +426,7 @@
         m_callerLeft = true;
         abort(ErrorCode::CallerTooSlow, "writing the response to the caller failed");
     }
-    if (m_sentToCaller && writer.framing() == BodyFraming::Close) {
+    if (m_sentToCaller && endsWithConnection) {
         m_exchange.abort();
     }
 }
