--- a/tests/processes/keptconnections.cpp
+++ b/tests/processes/keptconnections.cpp
@@ -160,6 +160,7 @@
         {sendBodySlowly, {"slow-body 200"}},
     };
     std::vector<std::thread> callers;
+    callers.reserve(cases.size());
     for (auto &each : cases) {
         callers.emplace_back([&each, address = fleet.callerAddress(0)]() {
             each.received = each.run(address);
--- a/tests/processes/pipelinedreads.cpp
+++ b/tests/processes/pipelinedreads.cpp
@@ -92,6 +92,7 @@
     const auto start = core::steadyNow();
     std::vector<PipelinedReads> all(SendTimes.size());
     std::vector<std::thread> callers;
+    callers.reserve(all.size());
     for (std::size_t i = 0; i < all.size(); ++i) {
         all[i].firstId = fmt::format("first-{}", i);
         all[i].secondId = fmt::format("second-{}", i);
