Spare each response a system call, and use one class for the callers of a test

The relay switched the reset of a cut connection off after every response, also where it had never switched it on. m_hasUnread is m_readsOn now, which says what it decides. One test sent its requests by a copy of the class beside it.

Behaviour and checks are the same.

--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -415,7 +415,9 @@
     const bool isRelayed = relayBody(writer) && writer.flush(m_yield);
     m_sentToCaller = writer.hasStarted();
     if (isRelayed && !m_failure) {
-        m_exchange.resetIfCut(false);
+        if (endsWithConnection) {
+            m_exchange.resetIfCut(false);
+        }
         m_canReuse = m_answerParser->keep_alive() && m_connection->buffer.size() == 0;
         return;
     }
--- a/src/http/serverconnection.h
+++ b/src/http/serverconnection.h
@@ -130,7 +130,7 @@
         while (serveOne(yield)) {
         }
         m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-        if (m_hasUnread) {
+        if (m_readsOn) {
             discardUnread(yield);
         }
         m_stream.close();
@@ -171,8 +171,8 @@
         });
         m_serverState->handler(exchange);
         --m_serverState->inProgress;
-        m_hasUnread = exchange.willClose() || m_serverState->draining;
-        return !m_hasUnread;
+        m_readsOn = exchange.willClose() || m_serverState->draining;
+        return !m_readsOn;
     }
 
     bool awaitFirstByte(const Yield &yield)
@@ -220,7 +220,7 @@
             errorReply(boost::beast::http::status::bad_request, {core::ErrorCode::RequestMalformed, std::move(detail)});
         reply.headers.emplace_back(RunHeader, "not-run");
         exchange.send(reply);
-        m_hasUnread = true;
+        m_readsOn = true;
     }
 
     boost::beast::tcp_stream m_stream;
@@ -228,8 +228,8 @@
     std::shared_ptr<ServerState> m_serverState;
     /** Whether the connection waits for the first byte of a request. */
     bool m_isIdle = false;
-    /** Whether the caller may still be sending bytes, behind a response, that are not going to be used. */
-    bool m_hasUnread = false;
+    /** Whether the connection is read on behind its last response before it is closed. */
+    bool m_readsOn = false;
 };
 
 } // namespace pimentoshed::http
--- a/tests/processes/changesinprogress.cpp
+++ b/tests/processes/changesinprogress.cpp
@@ -43,12 +43,12 @@
 class Callers
 {
 public:
-    Callers(const PlatformFleet &fleet, std::size_t count)
+    Callers(const PlatformFleet &fleet, std::size_t count, unsigned entry = 0)
         : m_answers(count, core::Error{})
     {
         for (std::size_t i = 0; i < count; ++i) {
-            m_threads.emplace_back([&fleet, &answer = m_answers[i], i]() {
-                answer = fleet.request(0, i % 2 == 0 ? "GET" : "POST");
+            m_threads.emplace_back([&fleet, &answer = m_answers[i], i, entry]() {
+                answer = fleet.request(entry, i % 2 == 0 ? "GET" : "POST");
             });
         }
     }
@@ -276,6 +276,7 @@
 // Guards against requests in progress that are lost when several hosts stop beside changes of the configuration.
 TEST_CASE("no request in progress is cut while two entry hosts stop in turn and are stopped again, beside changes")
 {
+    constexpr std::size_t Requests = 6;
     PlatformFleet fleet(167, 2, 2s);
     PlatformTarget target("i-slow", fleet.targetAddress(0), 300ms, respond);
     REQUIRE(target.announce(fleet.controlAddress()) == 200);
@@ -292,21 +293,12 @@
     });
     for (unsigned round = 0; round < 2; ++round) {
         CAPTURE(round);
-        std::vector<core::Result<http::ClientAnswer>> answers(6, core::Error{});
-        std::vector<std::thread> callers;
         const auto before = target.requests().size();
-        for (std::size_t i = 0; i < answers.size(); ++i) {
-            callers.emplace_back([&fleet, &answer = answers[i], i, round]() {
-                answer = fleet.request(round, i % 2 == 0 ? "GET" : "POST");
-            });
-        }
-        CHECK(awaitRequests(target, before + answers.size()));
+        Callers callers(fleet, Requests, round);
+        CHECK(awaitRequests(target, before + Requests));
         fleet.entry(round).signal(SIGTERM);
         fleet.entry(round).signal(SIGTERM);
-        for (auto &caller : callers) {
-            caller.join();
-        }
-        CHECK(statusesOf(answers) == std::vector<unsigned>(answers.size(), 200));
+        CHECK(statusesOf(callers.await()) == std::vector<unsigned>(Requests, 200));
         fleet.restartEntry(round);
         REQUIRE(fleet.waitUntilServing());
     }
