Agree on the interfaces of workspaces, quotas, rollouts and hedges

Nothing uses them yet: a configuration without workspaces, and hosts that don't know the new messages, behave as before.

--- a/src/configuration/model.h
+++ b/src/configuration/model.h
@@ -29,6 +29,23 @@
     bool operator==(const Institution &) const = default;
 };
 
+/** Digest of a caller's key. Keys themselves are kept only in the operator's file. */
+using KeyDigest = std::array<std::uint8_t, 32>;
+
+/** A group of callers, known by the keys that their requests carry. */
+struct Workspace {
+    core::WorkspaceName name;
+    std::vector<KeyDigest> keys;
+    /** 0 to 9; takes precedence over the importance of a request's route, unless it is not set. */
+    std::optional<unsigned> importance;
+    /** Requests per second over all entry hosts together; 0 if they are not limited. */
+    double requestsPerSecond = 0;
+    /** Requests above the rate that may come at once. */
+    double burst = 0;
+
+    bool operator==(const Workspace &) const = default;
+};
+
 /** A service: how its requests are matched, limited, and retried. */
 struct Service {
     core::ServiceName name;
@@ -64,6 +81,8 @@
     std::string healthPath;
     /** Limit for the requests per second from all entry hosts to one cold target; 0 if only coldSlots limits them. */
     double coldRequestsPerSecond = 0;
+    /** Limit for second attempts that run beside a slow first one, as a share of first attempts; 0 allows none. */
+    double hedgeRatio = 0;
 
     bool operator==(const Service &) const = default;
 };
@@ -109,6 +128,8 @@
     core::Duration latencyObjective{};
     /** 0 to 9; requests of lower importance are shed first. */
     unsigned importance = 0;
+    /** Whether requests need no key of a workspace. */
+    bool isPublic = false;
 
     bool operator==(const Route &) const = default;
 };
@@ -161,6 +182,8 @@
     /** The version of this file, if it states one; otherwise it gets the next number after the version in force. */
     std::optional<std::uint64_t> version;
     std::vector<Institution> institutions;
+    /** If there are none, requests need no key. */
+    std::vector<Workspace> workspaces;
     std::vector<core::FailureDomain> failureDomains;
     std::vector<Service> services;
     /** Includes a route for every service with a path prefix, under the name of the service. */
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -47,6 +47,8 @@
     ErrorRow{ErrorCode::AnswerTruncated, "answer-truncated", "the target's answer ended early"},
     ErrorRow{ErrorCode::ClaimFailed, "claim-failed", "the request key could not be claimed in time"},
     ErrorRow{ErrorCode::CallerTooSlow, "caller-too-slow", "the caller sent or read too slowly"},
+    ErrorRow{ErrorCode::KeyUnknown, "key-unknown", "the request carries no key of a workspace"},
+    ErrorRow{ErrorCode::OverQuota, "over-quota", "the request is over the quota of its workspace"},
     ErrorRow{ErrorCode::AnnouncementMalformed, "announcement-malformed", "a target's announcement can't be decoded"},
     ErrorRow{
         ErrorCode::AnnouncementStale, "announcement-stale", "a newer announcement of this target was already received"},
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -49,6 +49,8 @@
     AnswerTruncated = 4012,
     ClaimFailed = 4013,
     CallerTooSlow = 4014,
+    KeyUnknown = 4015,
+    OverQuota = 4016,
     AnnouncementMalformed = 5001,
     AnnouncementStale = 5002,
     JournalDamaged = 6001,
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -40,6 +40,8 @@
 using ServiceName = Id<struct ServiceNameTag>;
 using RouteName = Id<struct RouteNameTag>;
 using InstitutionName = Id<struct InstitutionNameTag>;
+/** A group of callers with keys and a request quota of its own. */
+using WorkspaceName = Id<struct WorkspaceNameTag>;
 using FailureDomain = Id<struct FailureDomainTag>;
 /** A control or entry host. */
 using HostId = Id<struct HostIdTag>;
--- a/src/targets/target.h
+++ b/src/targets/target.h
@@ -71,6 +71,8 @@
     core::HostId origin;
     /** Number of requests that the target runs at once; 0 if the value of its service applies. */
     unsigned slots = 0;
+    /** Version of the target's software; empty if it names none. */
+    std::string softwareVersion;
 
     bool operator==(const Target &) const = default;
 };
