Part the handler of callers' requests into steps

The path is now a row of classes in src/entry, one job each: RequestIdentification (with ConfigurationFollower), RequestAdmission, TargetAssignment, TargetProber, Attempts, Refusals and RequestLog, joined by CallerHttpHandler.

Behaviour is the same but for what the one rule brings: a late request looks at the targets' pause and the deadline at each step, not only when it starts to wait; a stopping host whose targets all pause answers Stopping instead of NoTarget; and a request whose deadline has passed ends before, not after, it gets a target.

--- /dev/null
+++ b/src/entry/activerequest.h
@@ -0,0 +1,71 @@
+/**
+ * @file
+ * A caller's request in progress, as it passes from step to step.
+ */
+#pragma once
+
+#include "changes/ledger.h"
+#include "core/ids.h"
+#include "http/exchange.h"
+#include "requests/outcome.h"
+#include "requests/requestsinprogress.h"
+#include "requests/retrypolicy.h"
+#include "requests/waitingrequest.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace pimentoshed::entry
+{
+
+using ConfigurationRef = std::shared_ptr<const changes::ActiveConfiguration>;
+
+/** A request in progress. Belongs to the coroutine of its exchange. */
+struct ActiveRequest {
+    http::Exchange &exchange;
+    /** The times of the request, and what ends its wait. */
+    requests::WaitingRequest waiting;
+    /** The configuration that the request follows, and its route and service there. */
+    ConfigurationRef active{};
+    const configuration::Route *route = nullptr;
+    const configuration::Service *service = nullptr;
+    /** The request's row in the table of requests in progress; none until its deadline is known. */
+    requests::RequestsInProgress::Row *row = nullptr;
+    /** Time spent so far to find targets with capacity. */
+    core::Duration assignmentTime{};
+    /** Targets that were probed for the latest attempt, and those that responded. */
+    std::size_t probedTargets = 0;
+    std::size_t respondingTargets = 0;
+    /** Whether as many targets as necessary were probed once. Later attempts of a waiting request probe a few. */
+    bool hasSurveyed = false;
+    /** Targets already tried, those included to which no connection could be made. */
+    std::vector<core::TargetId> triedTargets{};
+    /** Number of attempts that sent the complete head of the request. */
+    unsigned attemptsSent = 0;
+    requests::RequestOutcome outcome{};
+};
+
+/** The attempts of @p request so far, as input to the decision whether to make another one at @p now. */
+inline requests::FailedAttempt latestAttempt(const ActiveRequest &request, core::TimePoint now)
+{
+    return {*request.service,
+            request.waiting.isIdempotent(),
+            request.outcome.run,
+            request.attemptsSent,
+            request.route->maxAttempts,
+            request.waiting.deadline() - now};
+}
+
+/** Lets @p duration pass. Returns whether the caller is still connected. */
+inline bool waitFor(http::Exchange &exchange, core::Duration duration)
+{
+    boost::asio::steady_timer timer(exchange.stream().get_executor(),
+                                    std::chrono::duration_cast<boost::asio::steady_timer::duration>(duration));
+    boost::system::error_code ignored;
+    timer.async_wait(exchange.yield()[ignored]);
+    return !exchange.hasCallerLeft();
+}
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/attempts.h
@@ -0,0 +1,42 @@
+/**
+ * @file
+ * The attempts to have a request answered by a target.
+ */
+#pragma once
+
+#include "entry/refusals.h"
+#include "entry/requestlog.h"
+#include "entry/targetassignment.h"
+
+namespace pimentoshed::entry
+{
+
+/** Sends a request to targets, one after the other, and responds to its caller. */
+class Attempts
+{
+public:
+    Attempts(const CallerHandlerDependencies &dependencies,
+             const TargetAssignment &assignment,
+             const Refusals &refusals,
+             const RequestLog &log);
+
+    /** Makes attempts until one of them answers the caller or no further one is allowed; then the caller is refused. */
+    void run(ActiveRequest &request, telemetry::CompletedRequest &completed) const;
+
+private:
+    /** Ends a request without a target because of @p error. */
+    void endWithoutTarget(ActiveRequest &request,
+                          const core::Error &error,
+                          telemetry::CompletedRequest &completed) const;
+    http::RelayResult attempt(ActiveRequest &request, AssignedTarget &assigned) const;
+    http::RelayOptions relayOptions(const ActiveRequest &request, const targets::Target &target) const;
+    bool mayRetry(const ActiveRequest &request, const http::RelayResult &result) const;
+    void refuseOrClose(const ActiveRequest &request, const http::RelayResult &result) const;
+
+    const CallerHandlerDependencies &m_dependencies;
+    const TargetAssignment &m_assignment;
+    const Refusals &m_refusals;
+    const RequestLog &m_log;
+};
+
+} // namespace pimentoshed::entry
--- /dev/null
+++ b/src/entry/configurationfollower.cpp
@@ -0,0 +1,79 @@
+#include "entry/configurationfollower.h"
+
+#include <algorithm>
+#include <string_view>
+#include <variant>
+
+namespace pimentoshed::entry
+{
+
+using core::ErrorCode;
+
+namespace
+{
+
+bool leadsTo(const configuration::Route &route, const core::ServiceName &service)
+{
+    return std::any_of(route.shares.begin(), route.shares.end(), [&service](const auto &share) {
+        return share.service == service && share.weight > 0;
+    });
+}
+
+/** The request's Host header without a port. */
+std::string_view hostName(const http::Exchange &exchange)
+{
+    const auto host = exchange.header("Host");
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(const CallerHandlerDependencies &dependencies)
+    : m_dependencies(dependencies)
+{
+}
+
+core::Status ConfigurationFollower::follow(ActiveRequest &request, const ConfigurationRef &active) const
+{
+    const auto &configuration = *active->configuration;
+    const auto &exchange = request.exchange;
+    const auto *route = configuration::findRoute(configuration, hostName(exchange), exchange.path());
+    if (route == nullptr) {
+        return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
+    }
+    const bool keepsService = request.service != nullptr && leadsTo(*route, request.service->name);
+    const auto *service =
+        configuration::findService(configuration, keepsService ? request.service->name : chooseService(*route));
+    if (service == nullptr) {
+        return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
+    }
+    const bool idempotent = configuration::isIdempotent(*route, *service, exchange.method());
+    request.active = active;
+    request.route = route;
+    request.service = service;
+    request.waiting.follow(route->latencyObjective, idempotent);
+    const bool needsRequestKey = route->idempotency == configuration::Idempotency::ByMethod;
+    if (needsRequestKey && !idempotent && exchange.header(service->requestKeyHeader).empty()) {
+        return core::Error{ErrorCode::RequestKeyMissing, service->requestKeyHeader};
+    }
+    return std::monostate{};
+}
+
+core::ServiceName ConfigurationFollower::chooseService(const configuration::Route &route) const
+{
+    double total = 0;
+    for (const auto &share : route.shares) {
+        total += share.weight;
+    }
+    constexpr double Steps = 1U << 30U;
+    double left = total * static_cast<double>(core::randomBelow(m_dependencies.random, 1U << 30U)) / Steps;
+    for (const auto &share : route.shares) {
+        if (left < share.weight) {
+            return share.service;
+        }
+        left -= share.weight;
+    }
+    return route.shares.back().service;
+}
+
+} // namespace pimentoshed::entry
