Part the router of a service

The state of a target, the ejection of outliers, and the selection of candidates shared one class of 725 lines, so that a further rule for a target would have touched all of them.

Types that its callers use have headers of their own.

--- /dev/null
+++ b/src/routing/assignoptions.h
@@ -0,0 +1,61 @@
+/**
+ * @file
+ * What a router is asked for, and what it answers.
+ */
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "targets/target.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+
+namespace pimentoshed::routing
+{
+
+/** Restrictions on the target of one request. */
+struct AssignOptions {
+    /** Targets that must not be chosen. */
+    std::span<const core::TargetId> excludedTargets;
+    /** If not empty, only these targets may be chosen. */
+    std::span<const core::TargetId> allowedTargets;
+    /** Time within which the request should end; zero if there is no objective. */
+    core::Duration objective{};
+    /** Whether only local targets may be chosen. Ignored if none of them is serving and reachable. */
+    bool localOnly = false;
+    /** Whether only targets of usual speed with most of their slots free may be chosen. */
+    bool idleOnly = false;
+    /**
+     * Whether an ejected target gets a probation request only if it has just reported its load and can be expected to
+     * end the request in time. For hosts that probe targets; shortlist() then also offers targets that are due.
+     */
+    bool probationNeedsReport = false;
+};
+
+/** Whether @p options allow the target @p id by its id. */
+bool isAllowed(const AssignOptions &options, const core::TargetId &id);
+
+/** A request that was assigned to a target. It must be released once. */
+struct Assignment {
+    std::shared_ptr<const targets::Target> target;
+    std::uint64_t attempt = 0;
+    /** How much slower than usual the target was estimated to be, by its load report. */
+    double slowness = 1;
+};
+
+/** Routing state of one target, for dumps and tests. */
+struct TargetStatus {
+    unsigned inFlight = 0;
+    bool isOutlier = false;
+    /** Whether the target is an outlier that gets probation requests only. */
+    bool isEjected = false;
+    /** Whether the target was found to be cold although it may announce that it is warm. */
+    bool isAssumedCold = false;
+    /** Requests per second that the target takes from all hosts together, if it names a limit. */
+    std::optional<double> requestLimit;
+};
+
+} // namespace pimentoshed::routing
