Let requests be restricted to targets of a software version

A rollout moves a share of a service's requests to the targets of one software version, and the router had no notion of versions.

AssignOptions takes a VersionFilter that shortlist(), assign() and probation requests obey; localOnly counts the local targets that match. RouterHooks::versionShare gives the division of a service. ServiceRouter::chooseVersion() chooses once for a request, as its probes and attempts must agree. It chooses nothing while one side of the division has no serving target: requests are not refused for the sake of a share. Nothing sets the hook yet.

--- a/src/routing/assignoptions.cpp
+++ b/src/routing/assignoptions.cpp
@@ -15,10 +15,16 @@
 
 } // namespace
 
-bool isAllowed(const AssignOptions &options, const core::TargetId &id)
+bool matches(const std::optional<VersionFilter> &filter, std::string_view softwareVersion)
 {
-    return !contains(options.excludedTargets, id)
-           && (options.allowedTargets.empty() || contains(options.allowedTargets, id));
+    return !filter || (softwareVersion == filter->version) == filter->only;
+}
+
+bool isAllowed(const AssignOptions &options, const targets::Target &target)
+{
+    return !contains(options.excludedTargets, target.id)
+           && (options.allowedTargets.empty() || contains(options.allowedTargets, target.id))
+           && matches(options.softwareVersion, target.softwareVersion);
 }
 
 } // namespace pimentoshed::routing
--- a/src/routing/assignoptions.h
+++ b/src/routing/assignoptions.h
@@ -12,10 +12,19 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 
 namespace pimentoshed::routing
 {
 
+/** Restricts a request to targets by their software version. */
+struct VersionFilter {
+    std::string_view version;
+    /** Whether only targets of the version may be chosen; if not, only those of any other version. */
+    bool only = true;
+};
+
 /** Restrictions on the target of one request. */
 struct AssignOptions {
     /** Targets that must not be chosen. */
@@ -33,10 +42,28 @@
      * end the request in time. For hosts that probe targets; shortlist() then also offers targets that are due.
      */
     bool probationNeedsReport = false;
+    /** If set, only the targets that it names may be chosen, also if none of them is serving. */
+    std::optional<VersionFilter> softwareVersion{};
 };
 
-/** Whether @p options allow the target @p id by its id. */
-bool isAllowed(const AssignOptions &options, const core::TargetId &id);
+/** Whether @p filter, if there is one, names targets of @p softwareVersion. */
+bool matches(const std::optional<VersionFilter> &filter, std::string_view softwareVersion);
+
+/** Whether @p options allow @p target by its id and software version. */
+bool isAllowed(const AssignOptions &options, const targets::Target &target);
+
+/** The software version that was chosen for one request while requests are divided between versions. */
+struct ChosenVersion {
+    std::string version;
+    /** Whether the request goes to targets of the version; if not, to those of any other version. */
+    bool only = true;
+
+    /** Valid as long as this object. */
+    VersionFilter filter() const
+    {
+        return {version, only};
+    }
+};
 
 /** A request that was assigned to a target. It must be released once. */
 struct Assignment {
--- a/src/routing/candidateselection.cpp
+++ b/src/routing/candidateselection.cpp
@@ -42,10 +42,11 @@
            && target.estimatedLoad(now) < MaxIdleUsage * target.slots(context.service);
 }
 
-bool hasReachableLocal(std::span<const TargetState> targets, core::TimePoint now)
+bool hasReachableLocal(std::span<const TargetState> targets, const AssignOptions &options, core::TimePoint now)
 {
-    return std::any_of(targets.begin(), targets.end(), [now](const TargetState &target) {
-        return target.isLocal() && target.isServing() && !target.isEjected() && target.isReachable(now);
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetState &target) {
+        return target.isLocal() && target.isServing() && !target.isEjected() && target.isReachable(now)
+               && matches(options.softwareVersion, target.target()->softwareVersion);
     });
 }
 
@@ -107,7 +108,7 @@
     if (targets.empty()) {
         return;
     }
-    const bool localOnly = options.localOnly && hasReachableLocal(targets, now);
+    const bool localOnly = options.localOnly && hasReachableLocal(targets, options, now);
     const bool isProbed = !options.allowedTargets.empty();
     const auto first = targets.size() > MaxCandidates ? core::randomBelow(context.hooks.random, targets.size()) : 0;
     for (const bool wantsOutliers : {false, true}) {
@@ -118,7 +119,7 @@
             const bool isUsable =
                 target.isServing() && !target.isEjected() && target.outlierState().isOutlier() == wantsOutliers;
             const unsigned maxInFlight = isUsable ? target.limit(now, context) : 0;
-            if (target.inFlight() >= maxInFlight || !target.isReachable(now) || !isAllowed(options, target.target()->id)
+            if (target.inFlight() >= maxInFlight || !target.isReachable(now) || !isAllowed(options, *target.target())
                 || (localOnly && !target.isLocal()) || (!isProbed && !target.isProbeAllowed(now))) {
                 continue;
             }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -111,6 +111,16 @@
     return guarded->router.shortlist(now, options, count);
 }
 
+std::optional<ChosenVersion> Router::chooseVersion(const core::ServiceName &service) const
+{
+    const auto guarded = find(service);
+    if (!guarded) {
+        return std::nullopt;
+    }
+    const core::Lock lock(guarded->mutex);
+    return guarded->router.chooseVersion();
+}
+
 void Router::recordFailedProbe(const targets::Target &target, bool failed, core::TimePoint now)
 {
     if (const auto guarded = find(target.service)) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -48,6 +48,9 @@
                                     core::TimePoint now,
                                     const AssignOptions &options);
 
+    /** Chooses the software version of one request of @p service, as ServiceRouter::chooseVersion() does. */
+    std::optional<ChosenVersion> chooseVersion(const core::ServiceName &service) const;
+
     /** Returns up to @p count targets to which a request could be assigned, the best first. */
     std::vector<std::shared_ptr<const targets::Target>> shortlist(const core::ServiceName &service,
                                                                   core::TimePoint now,
--- a/src/routing/routerhooks.h
+++ b/src/routing/routerhooks.h
@@ -7,6 +7,7 @@
 #include "configuration/model.h"
 #include "core/random.h"
 #include "membership/requestpace.h"
+#include "rollouts/versionshare.h"
 #include "routing/picker.h"
 #include "targets/target.h"
 
@@ -35,6 +36,8 @@
     ColdAssignedHook onColdAssigned{};
     /** If empty, this host alone uses the whole request limit of a target. */
     RequestPaceHook requestPace{};
+    /** If empty, requests are not divided by the targets' software versions. */
+    rollouts::VersionShareHook versionShare{};
 };
 
 } // namespace pimentoshed::routing
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -103,6 +103,25 @@
     return found;
 }
 
+std::optional<ChosenVersion> ServiceRouter::chooseVersion() const
+{
+    const auto division = m_hooks.versionShare ? m_hooks.versionShare(m_service.name) : std::nullopt;
+    if (!division) {
+        return std::nullopt;
+    }
+    bool hasVersion = false;
+    bool hasOther = false;
+    for (const auto &target : m_targets) {
+        const bool isVersion = target.target()->softwareVersion == division->softwareVersion;
+        hasVersion = hasVersion || (target.isServing() && isVersion);
+        hasOther = hasOther || (target.isServing() && !isVersion);
+    }
+    if (!hasVersion || !hasOther) {
+        return std::nullopt;
+    }
+    return ChosenVersion{division->softwareVersion, core::randomFraction(m_hooks.random) < division->share};
+}
+
 void ServiceRouter::recordFailedProbe(const core::TargetId &id, bool failed, core::TimePoint now)
 {
     if (auto *target = find(id)) {
@@ -244,7 +263,7 @@
         return std::nullopt;
     }
     return m_ejections.findDue(m_targets, now, m_hooks.random, [&](const TargetState &target) {
-        return target.inFlight() < target.limit(now, context()) && isAllowed(options, target.target()->id)
+        return target.inFlight() < target.limit(now, context()) && isAllowed(options, *target.target())
                && isProbationAssignable(target, options, now);
     });
 }
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -51,6 +51,13 @@
     core::Result<Assignment> assign(core::TimePoint now, const AssignOptions &options);
     core::Result<Assignment> assign(core::TimePoint now, std::span<const core::TargetId> excludedTargets = {});
 
+    /**
+     * Chooses the software version of one request by the versionShare hook, at random. The choice holds for all probes
+     * and attempts of the request. Nothing if the service's requests are not divided, or if only one side of the
+     * division has serving targets: then these get all requests.
+     */
+    std::optional<ChosenVersion> chooseVersion() const;
+
     /** Returns up to @p count targets to which a request could be assigned, the best first. */
     std::vector<std::shared_ptr<const targets::Target>> shortlist(core::TimePoint now,
                                                                   const AssignOptions &options,
