Count a stop from when its signal may have been sent

Cause: the time between the sending of a signal and its notice was taken for zero. Now the host checks every 100 ms that no signal to stop is pending, and counts the whole stop from the last such check: a request that is sent by an estimate has arrived within 3 s of a time at which the signal had not been sent, however late it is noticed, and the host ends before SIGKILL.

The new test delays the notice by 0.7 s and sends a look-up 3.2 s after the signal.

--- a/src/cli/hostcommands.cpp
+++ b/src/cli/hostcommands.cpp
@@ -41,29 +41,52 @@
     return {seconds.count(), static_cast<long>((duration - seconds).count())};
 }
 
-/** Waits for the next of awaitedSignals() and returns it, or 0 after @p period. A period of zero means no time-out. */
+/** Time between two checks whether a signal to stop is pending; the send time of a signal is known to this precision.
+ */
+constexpr core::Duration SignalCheckPeriod = std::chrono::milliseconds(100);
+
+bool isStopPending()
+{
+    sigset_t pending;
+    sigemptyset(&pending);
+    sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
+/** Waits for the next of awaitedSignals() and returns it, or 0 after @p period. */
 int waitForSignal(core::Duration period)
 {
     const auto signals = awaitedSignals();
-    if (period == core::Duration{}) {
-        int signal = 0;
-        sigwait(&signals, &signal);
-        return signal;
-    }
     const auto wait = toTimespec(period);
     return std::max(0, sigtimedwait(&signals, nullptr, &wait));
 }
 
+/**
+ * Waits for SIGTERM or SIGINT. Returns a time at which the signal had not been sent yet: a process that gets little of
+ * its processor notices a signal late.
+ */
 template<typename Host>
-void waitForStop(Host &host, const SettingsWatch<Host> &watch)
+core::TimePoint waitForStop(Host &host, const SettingsWatch<Host> &watch)
 {
+    auto lastWithoutStop = core::steadyNow();
+    auto lastReload = lastWithoutStop;
     while (true) {
-        const int signal = waitForSignal(watch.period);
+        const auto now = core::steadyNow();
+        if (!isStopPending()) {
+            lastWithoutStop = now;
+        }
+        const int signal = waitForSignal(SignalCheckPeriod);
         if (signal == SIGTERM || signal == SIGINT) {
-            core::log(core::LogLevel::Info, "stop-asked", {{"signal", signal}});
-            return;
+            const auto delay = core::steadyNow() - lastWithoutStop;
+            core::log(core::LogLevel::Info,
+                      "stop-asked",
+                      {{"signal", signal},
+                       {"max_delay_ms", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()}});
+            return lastWithoutStop;
         }
-        if (watch.reload) {
+        const bool isReloadDue = watch.period > core::Duration{} && now - lastReload >= watch.period;
+        if (watch.reload && (signal == SIGHUP || isReloadDue)) {
+            lastReload = now;
             watch.reload(host, signal == SIGHUP);
         } else if (signal == SIGHUP) {
             core::log(core::LogLevel::Info, "reload-ignored", {{"reason", "flags do not change while a host runs"}});
@@ -167,8 +190,8 @@
     if (!core::ok(host)) {
         return reportFailedStart(core::error(host));
     }
-    waitForStop(*core::value(host), watch);
-    const auto cutRequests = core::value(host)->stop();
+    const auto signalledAfter = waitForStop(*core::value(host), watch);
+    const auto cutRequests = core::value(host)->stop(signalledAfter);
     core::log(
         cutRequests == 0 ? core::LogLevel::Info : core::LogLevel::Error, "stopped", {{"requests_cut", cutRequests}});
     return cutRequests == 0 ? ExitCode::Success : ExitCode::RequestsCut;
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -98,25 +98,24 @@
         return std::monostate{};
     }
 
-    std::size_t stop()
+    std::size_t stop(core::TimePoint start)
     {
         if (m_stopped.exchange(true)) {
             return 0;
         }
         const auto acceptDuration = m_settings.acceptDurationOnStop.value_or(maxAddressHoldTime());
-        const auto now = m_timers.now();
-        m_stop =
-            requests::HostStop{now + m_settings.estimateDurationOnStop, now + acceptDuration + m_settings.stopLimit};
+        m_stop = requests::HostStop{start + m_settings.estimateDurationOnStop,
+                                    start + acceptDuration + m_settings.stopLimit};
         m_stopping = true;
         m_scheduler.stopAt(m_stop.end);
         m_feedClient->sendOwnRecord();
         if (m_callerServer) {
             m_callerServer->closeAfterAnswers();
-            waitFor(acceptDuration);
+            waitUntil(start + acceptDuration);
         }
         const auto remaining = drainRequests();
         if (remaining > 0) {
-            logCutRequests(now, remaining);
+            logCutRequests(start, remaining);
         }
         shutDown();
         return remaining;
@@ -346,11 +345,11 @@
                       : core::Duration{};
     }
 
-    /** Blocks the calling thread for @p duration, measured by the timer service like every wait of this class. */
-    void waitFor(core::Duration duration)
+    /** Blocks the calling thread until @p end, measured by the timer service like every wait of this class. */
+    void waitUntil(core::TimePoint end)
     {
         std::promise<void> done;
-        const auto timer = m_timers.after(duration, [&done]() {
+        const auto timer = m_timers.after(end - m_timers.now(), [&done]() {
             done.set_value();
         });
         done.get_future().wait();
@@ -434,9 +433,9 @@
     m_impl->addControlHosts(addresses);
 }
 
-std::size_t EntryHost::stop()
+std::size_t EntryHost::stop(core::TimePoint start)
 {
-    return m_impl->stop();
+    return m_impl->stop(start);
 }
 
 } // namespace pimentoshed::entry
--- a/src/entry/entryhost.h
+++ b/src/entry/entryhost.h
@@ -43,8 +43,8 @@
     /** How long stop() still accepts requests; if not set, as long as callers may hold this host's address. */
     std::optional<core::Duration> acceptDurationOnStop;
     /**
-     * For how long from its start on stop() sends idempotent requests that arrive by an estimate of the time that they
-     * take, see requests::canEndBefore(). Later requests are sent only if their deadline leaves no doubt.
+     * For how long from the start of the stop stop() sends idempotent requests that arrive by an estimate of the time
+     * that they take, see requests::canEndBefore(). Later requests are sent only if their deadline leaves no doubt.
      */
     core::Duration estimateDurationOnStop{};
     http::ProtocolHooks marking = http::defaultProtocolHooks();
@@ -77,10 +77,11 @@
 
     /**
      * Withdraws this host's address, accepts requests until the addresses given out before have expired, then waits up
-     * to stopLimit for requests in progress. Blocks the calling thread. Returns the number of requests still in
+     * to stopLimit for requests in progress. All of this counts from @p start, which may have passed already: a time at
+     * which the stop had not been requested yet. Blocks the calling thread. Returns the number of requests still in
      * progress at the limit.
      */
-    std::size_t stop();
+    std::size_t stop(core::TimePoint start);
 
 private:
     class Impl;
--- a/tests/processes/stopsignals.cpp
+++ b/tests/processes/stopsignals.cpp
@@ -1,5 +1,6 @@
 #include "processes/platformfleet.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fmt/format.h>
@@ -96,3 +97,33 @@
     CHECK(core::steadyNow() - start < PlatformFleet::GracePeriod);
     caller.join();
 }
+
+// Guards against look-ups that are sent later than a stop may cut them, because the host noticed the signal late.
+TEST_CASE("a host that notices its stop late counts from the time at which the signal may have been sent")
+{
+    PlatformFleet fleet(145, 1, 4s);
+    std::atomic<int> lateRuns{0};
+    PlatformTarget target("i-mixed", fleet.targetAddress(0), 40ms, [&lateRuns](const ReceivedRequest &request) {
+        if (request.id.starts_with("late")) {
+            ++lateRuns;
+            std::this_thread::sleep_for(3800ms);
+        }
+        return http::Reply{};
+    });
+    REQUIRE(target.announce(fleet.controlAddress()) == 200);
+    REQUIRE(fleet.waitUntilServing());
+    fleet.load(20, 1s);
+    // Stands for a host that doesn't get its processor.
+    fleet.entry(0).signal(SIGSTOP);
+    const auto start = core::steadyNow();
+    fleet.entry(0).signal(SIGTERM);
+    std::this_thread::sleep_until(start + 700ms);
+    fleet.entry(0).signal(SIGCONT);
+    std::this_thread::sleep_until(start + 3200ms);
+    const auto answer = fleet.request(0, "GET", "late");
+    CHECK(fleet.entry(0).wait() == 0);
+    CHECK(core::steadyNow() - start < PlatformFleet::GracePeriod);
+    CHECK(lateRuns == 0);
+    REQUIRE(core::ok(answer));
+    CHECK(core::value(answer).status == 503);
+}
