Read workspaces from the operator's file

Callers could not be told apart: a file had no keys and no groups of callers. A file now has [workspace.NAME] with keys, importance and quota, and services can be public.

[workspace.NAME] rather than a list, because all other sections are named tables, in which TOML itself refuses a second one of the same name.

--- a/src/configuration/bindings.cpp
+++ b/src/configuration/bindings.cpp
@@ -1,6 +1,9 @@
 #include "configuration/bindings.h"
 
+#include "configuration/keydigest.h"
+
 #include <algorithm>
+#include <iterator>
 #include <type_traits>
 #include <utility>
 
@@ -73,6 +76,18 @@
     {Key::Weight, integerSetter(&Institution::weight)},
 };
 
+const Bindings<Workspace> WorkspaceBindings{
+    {Key::WorkspaceKeys,
+     [](Workspace &workspace, const Value &value) {
+         const auto &keys = std::get<std::vector<std::string>>(value);
+         workspace.keys.reserve(keys.size());
+         std::transform(keys.begin(), keys.end(), std::back_inserter(workspace.keys), digestOfKey);
+     }},
+    {Key::WorkspaceImportance, integerSetter<Workspace, std::optional<unsigned>>(&Workspace::importance)},
+    {Key::RequestsPerSecond, directSetter<double>(&Workspace::requestsPerSecond)},
+    {Key::Burst, directSetter<double>(&Workspace::burst)},
+};
+
 const Bindings<ControlHost> ControlHostBindings{
     {Key::Address, directSetter<std::string>(&ControlHost::address)},
 };
@@ -88,6 +103,7 @@
     {Key::MaxRequestBytes, integerSetter(&Service::maxRequestBytes)},
     {Key::QueueLimit, integerSetter(&Service::queueLimit)},
     {Key::Importance, integerSetter(&Service::importance)},
+    {Key::Public, directSetter<bool>(&Service::isPublic)},
     {Key::IdempotentMethods, directSetter<std::vector<std::string>>(&Service::idempotentMethods)},
     {Key::RequestKeyHeader, directSetter<std::string>(&Service::requestKeyHeader)},
     {Key::ShedIsNotRun, directSetter<bool>(&Service::shedIsNotRun)},
@@ -115,7 +131,8 @@
     return std::visit(
         [](const auto &value) -> Value {
             using Type = std::decay_t<decltype(value)>;
-            if constexpr (std::is_same_v<Type, Required> || std::is_same_v<Type, EmptyList>) {
+            if constexpr (std::is_same_v<Type,
+                                         Required> || std::is_same_v<Type, EmptyList> || std::is_same_v<Type, Unset>) {
                 return std::vector<std::string>();
             } else if constexpr (std::is_same_v<Type, std::string_view>) {
                 return std::string(value);
@@ -141,6 +158,11 @@
     return makeSetter(InstitutionBindings, institution);
 }
 
+ValueSetter setterFor(Workspace &workspace)
+{
+    return makeSetter(WorkspaceBindings, workspace);
+}
+
 ValueSetter setterFor(ControlHost &host)
 {
     return makeSetter(ControlHostBindings, host);
--- a/src/configuration/bindings.h
+++ b/src/configuration/bindings.h
@@ -22,7 +22,7 @@
 /** Stores the value of a key in the model; does nothing for keys without a binding. */
 using ValueSetter = std::function<void(Key, const Value &)>;
 
-/** Returns the default of @p row. The key must not be a required one. */
+/** Returns the default of @p row. The key must have one. */
 Value defaultOf(const KeyRow &row);
 
 /**
@@ -32,6 +32,7 @@
 ValueSetter setterFor(Configuration &configuration);
 ValueSetter setterFor(Limits &limits);
 ValueSetter setterFor(Institution &institution);
+ValueSetter setterFor(Workspace &workspace);
 ValueSetter setterFor(ControlHost &host);
 ValueSetter setterFor(Service &service);
 
--- a/src/configuration/formats.cpp
+++ b/src/configuration/formats.cpp
@@ -85,9 +85,26 @@
     });
 }
 
-const std::array<FormatRow, 6> &formatTable()
+/** Characters that HTTP allows in a bearer token (RFC 6750, section 2.1), without the padding at its end. */
+bool isTokenCharacter(char c)
 {
-    static const std::array<FormatRow, 6> rows{{
+    constexpr std::string_view Others = "-._~+/";
+    return isLowerOrDigit(c) || (c >= 'A' && c <= 'Z') || Others.find(c) != std::string_view::npos;
+}
+
+bool isWorkspaceKey(std::string_view text)
+{
+    // Shorter ones can be found from their digests, which hosts keep.
+    constexpr std::size_t MinLength = 16;
+    constexpr std::size_t MaxLength = 128;
+    const auto end = text.find_last_not_of('=') + 1;
+    return text.size() >= MinLength && text.size() <= MaxLength && end > 0
+           && std::all_of(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(end), isTokenCharacter);
+}
+
+const std::array<FormatRow, 7> &formatTable()
+{
+    static const std::array<FormatRow, 7> rows{{
         {Format::Any,
          "any text",
          [](std::string_view) {
@@ -98,6 +115,7 @@
         {Format::Address, "IP:PORT (IPv6 as [IP]:PORT)", isAddress},
         {Format::Method, "a method such as GET or POST", isMethod},
         {Format::HeaderName, "a header name of letters, digits, '-' and '_'", isHeaderName},
+        {Format::WorkspaceKey, "a key of letters, digits and -._~+/=, 16 to 128 characters", isWorkspaceKey},
     }};
     return rows;
 }
--- a/src/configuration/formats.h
+++ b/src/configuration/formats.h
@@ -19,6 +19,8 @@
     Address,
     Method,
     HeaderName,
+    /** A key of a workspace. */
+    WorkspaceKey,
 };
 
 bool matches(Format format, std::string_view text);
--- a/src/configuration/keys.cpp
+++ b/src/configuration/keys.cpp
@@ -14,6 +14,10 @@
 constexpr double MaxDomains = 64;
 constexpr double DayMs = 86400000;
 constexpr double MiB = 1048576;
+/** Keys in one workspace: one for each program of its callers, twice that while they are replaced. */
+constexpr double MaxWorkspaceKeys = 64;
+/** As many requests per second as the users name for the whole system (docs/CAPACITY.md), rounded up. */
+constexpr double MaxRequestsPerSecond = 2000000;
 
 constexpr std::array Keys{
     KeyRow{Key::Replaces,
@@ -97,6 +101,42 @@
            {1, 1000},
            Format::Any,
            "share of contended capacity relative to the other institutions"},
+    KeyRow{Key::WorkspaceKeys,
+           Section::Workspace,
+           "keys",
+           ValueType::StringList,
+           Unit::None,
+           Required{},
+           {0, MaxWorkspaceKeys},
+           Format::WorkspaceKey,
+           "the keys by which requests belong to the workspace; no two workspaces share one"},
+    KeyRow{Key::WorkspaceImportance,
+           Section::Workspace,
+           "importance",
+           ValueType::Integer,
+           Unit::None,
+           Unset{},
+           {0, 9},
+           Format::Any,
+           "takes precedence over the importance of the service"},
+    KeyRow{Key::RequestsPerSecond,
+           Section::Workspace,
+           "requests_per_second",
+           ValueType::Number,
+           Unit::PerSecond,
+           0.0,
+           {0, MaxRequestsPerSecond},
+           Format::Any,
+           "requests of the workspace over all entry hosts together; 0 for no limit"},
+    KeyRow{Key::Burst,
+           Section::Workspace,
+           "burst",
+           ValueType::Number,
+           Unit::Requests,
+           0.0,
+           {0, MaxRequestsPerSecond},
+           Format::Any,
+           "requests above `requests_per_second` that may come at once"},
     KeyRow{Key::Address,
            Section::ControlHost,
            "address",
@@ -196,6 +236,15 @@
            {0, 9},
            Format::Any,
            "requests of lower importance are shed first"},
+    KeyRow{Key::Public,
+           Section::Service,
+           "public",
+           ValueType::Boolean,
+           Unit::None,
+           false,
+           {0, 1},
+           Format::Any,
+           "whether requests need no key of a workspace"},
     KeyRow{Key::IdempotentMethods,
            Section::Service,
            "idempotent_methods",
@@ -300,6 +349,8 @@
                 return "required";
             } else if constexpr (std::is_same_v<Type, EmptyList>) {
                 return "[]";
+            } else if constexpr (std::is_same_v<Type, Unset>) {
+                return "none";
             } else if constexpr (std::is_same_v<Type, std::string_view>) {
                 return fmt::format("\"{}\"", value);
             } else {
--- a/src/configuration/keys.h
+++ b/src/configuration/keys.h
@@ -22,6 +22,7 @@
     File,
     Limits,
     Institution,
+    Workspace,
     ControlHost,
     Service,
 };
@@ -30,6 +31,7 @@
     core::EnumName<Section>{Section::File, ""},
     core::EnumName<Section>{Section::Limits, "limits"},
     core::EnumName<Section>{Section::Institution, "institution"},
+    core::EnumName<Section>{Section::Workspace, "workspace"},
     core::EnumName<Section>{Section::ControlHost, "control_host"},
     core::EnumName<Section>{Section::Service, "service"},
 };
@@ -82,6 +84,10 @@
     RequestKeyRetention,
     RequestKeyCapacity,
     Weight,
+    WorkspaceKeys,
+    WorkspaceImportance,
+    RequestsPerSecond,
+    Burst,
     Address,
     Institution,
     PathPrefix,
@@ -93,6 +99,7 @@
     MaxRequestBytes,
     QueueLimit,
     Importance,
+    Public,
     IdempotentMethods,
     RequestKeyHeader,
     ShedIsNotRun,
@@ -108,7 +115,11 @@
 struct EmptyList {
 };
 
-using DefaultValue = std::variant<Required, EmptyList, std::int64_t, double, bool, std::string_view>;
+/** The key has no default: without it, its member stays unset. */
+struct Unset {
+};
+
+using DefaultValue = std::variant<Required, EmptyList, Unset, std::int64_t, double, bool, std::string_view>;
 
 /** Limits of a number, of the length of a string in bytes, or of the number of elements of a list; both inclusive. */
 struct Bounds {
@@ -141,7 +152,7 @@
 /** Describes the values that @p row accepts, such as "an integer from 1 to 10000 (requests)". */
 std::string describeExpectedValue(const KeyRow &row);
 
-/** Returns the default of @p row in TOML syntax, or "required". */
+/** Returns the default of @p row in TOML syntax, "required" or "none". */
 std::string describeDefault(const KeyRow &row);
 
 } // namespace pimentoshed::configuration
--- a/src/configuration/model.cpp
+++ b/src/configuration/model.cpp
@@ -37,6 +37,7 @@
     route.shares.push_back({service.name, 1});
     route.deadline = service.deadline;
     route.importance = service.importance;
+    route.isPublic = service.isPublic;
     return route;
 }
 
--- a/src/configuration/model.h
+++ b/src/configuration/model.h
@@ -67,6 +67,8 @@
     unsigned queueLimit = 0;
     /** 0 to 9; requests of lower importance are shed first. */
     unsigned importance = 0;
+    /** Whether requests need no key of a workspace. */
+    bool isPublic = false;
     /** Requests with these methods may be executed more than once. */
     std::vector<std::string> idempotentMethods;
     /** The header that carries the request key of a non-idempotent request. */
@@ -171,6 +173,8 @@
     /** Request keys remembered at the same time, shared between institutions by weight. */
     std::uint64_t requestKeyCapacity = 200000;
     WhenStale whenStale = WhenStale::Refuse;
+    /** For requests that need a key, where whenStale is Serve: keys may have been taken away meanwhile. */
+    WhenStale keysWhenStale = WhenStale::Serve;
 
     bool operator==(const Limits &) const = default;
 };
@@ -206,7 +210,8 @@
 /** Returns the longest deadline of the services and routes. */
 core::Duration longestDeadline(const Configuration &configuration);
 
-/** Returns the route for the path prefix of @p service, with the service's name, deadline and importance. */
+/** Returns the route for the path prefix of @p service, with the service's name, deadline and importance; public if it
+ * is. */
 Route routeForService(const Service &service);
 
 /** Returns the service called @p name, or nullptr. */
--- a/src/configuration/reader.cpp
+++ b/src/configuration/reader.cpp
@@ -227,6 +227,8 @@
         const auto *node = table.get(row.name);
         if (node == nullptr && std::holds_alternative<Required>(row.defaultValue)) {
             mistakes.push_back(mistakeAt(ErrorCode::ConfigMissingKey, table.source(), key, describeExpectedValue(row)));
+        } else if (node == nullptr && std::holds_alternative<Unset>(row.defaultValue)) {
+            continue;
         } else if (const auto value = node == nullptr ? defaultOf(row) : readValue(*node, {row, key, mistakes})) {
             setValue(row.key, *value);
         }
@@ -257,6 +259,8 @@
     };
     const auto institutions = entryReader(Section::Institution, configuration.institutions, setName);
     readNamedTables(root, Section::Institution, institutions, mistakes);
+    readNamedTables(
+        root, Section::Workspace, entryReader(Section::Workspace, configuration.workspaces, setName), mistakes);
     readNamedTables(
         root, Section::ControlHost, entryReader(Section::ControlHost, configuration.controlHosts, setId), mistakes);
     readNamedTables(root, Section::Service, entryReader(Section::Service, configuration.services, setName), mistakes);
--- a/src/configuration/rules.cpp
+++ b/src/configuration/rules.cpp
@@ -99,6 +99,34 @@
     }
 }
 
+/** Reports a shared key at its place in the later workspace, without the key itself. */
+void workspaceKeysDiffer(const RuleContext &context)
+{
+    const auto section = core::nameOf(SectionNames, Section::Workspace);
+    const auto keysName = rowOf(Key::WorkspaceKeys).name;
+    std::map<std::string_view, core::WorkspaceName> owners;
+    for (const auto &workspace : context.configuration.workspaces) {
+        const auto *keys = context.root[section][workspace.name.str()][keysName].as_array();
+        if (keys == nullptr) {
+            continue;
+        }
+        for (const auto &element : *keys) {
+            const auto *key = element.as_string();
+            if (key == nullptr) {
+                continue;
+            }
+            const auto [owner, isNew] = owners.try_emplace(key->get(), workspace.name);
+            if (!isNew && owner->second != workspace.name) {
+                context.mistakes.push_back(
+                    mistakeAt(ErrorCode::ConfigDuplicate,
+                              element.source(),
+                              dottedKey(dottedKey(section, workspace.name.str()), keysName),
+                              fmt::format("a key that workspace.{} does not have", owner->second.str())));
+            }
+        }
+    }
+}
+
 void controlHostsDiffer(const RuleContext &context)
 {
     std::map<std::string, core::HostId> byAddress;
@@ -142,7 +170,8 @@
 
 void checkRules(const toml::table &root, const Configuration &configuration, std::vector<Mistake> &mistakes)
 {
-    static const std::array<Rule, 6> rules{institutionsExist,
+    static const std::array<Rule, 7> rules{institutionsExist,
+                                           workspaceKeysDiffer,
                                            prefixesAreDisjoint,
                                            slotLimitsAreConsistent,
                                            controlHostsDiffer,
--- a/tests/configuration/parser.cpp
+++ b/tests/configuration/parser.cpp
@@ -1,4 +1,5 @@
 #include "configuration/parser.h"
+#include "configuration/keydigest.h"
 
 #include "support/files.h"
 #include "support/property.h"
@@ -7,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fmt/format.h>
+#include <tuple>
 
 using namespace pimentoshed;
 using configuration::Mistake;
@@ -253,3 +255,64 @@
         }
     });
 }
+
+TEST_CASE("workspaces are read with the digests of their keys")
+{
+    const auto parsed =
+        configuration::parse(fileWithService(RequiredKeys + "public = true\n")
+                             + "[workspace.w]\nkeys = [\"0123456789abcdef\", \"fedcba9876543210\"]\nimportance = 8\n"
+                               "requests_per_second = 2.5\nburst = 10\n[workspace.v]\nkeys = []\n");
+    const auto *file = std::get_if<configuration::Configuration>(&parsed);
+    REQUIRE(file != nullptr);
+    CHECK(file->routes.front().isPublic);
+    REQUIRE(file->workspaces.size() == 2);
+    const auto &[v, w] = std::tie(file->workspaces[0], file->workspaces[1]);
+    CHECK(w.name == core::WorkspaceName("w"));
+    CHECK(
+        w.keys
+        == std::vector{configuration::digestOfKey("0123456789abcdef"), configuration::digestOfKey("fedcba9876543210")});
+    CHECK(w.importance == 8U);
+    CHECK(w.requestsPerSecond == 2.5);
+    CHECK(w.burst == 10);
+    CHECK_FALSE(v.importance);
+    CHECK(v.requestsPerSecond == 0);
+}
+
+TEST_CASE("digestOfKey: is the SHA-256 digest")
+{
+    // The first example of FIPS 180-2, appendix B.1.
+    const auto digest = configuration::digestOfKey("abc");
+    std::string shown;
+    for (const auto byte : digest) {
+        shown += fmt::format("{:02x}", byte);
+    }
+    CHECK(shown == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+TEST_CASE("mistakes in workspaces are reported at their places, without the keys")
+{
+    const std::string key = "0123456789abcdef";
+    const auto text = fileWithService(RequiredKeys) + "[workspace.a]\nkeys = [\"" + key + "\"]\nburst = -1\n"
+                      + "[workspace.b]\nkeys = [\"another-key-of-b\", \"" + key + "\"]\nrequests_per_second = inf\n"
+                      + "[workspace.c]\nkeys = [\"short\", \"with blanks inside\", 7]\nrequests_per_second = nan\n"
+                      + "[workspace.d]\nimportance = 10\nkey = [\"" + key + "\"]\npublic = true\n";
+    const auto shown = describeMistakes(text);
+    const std::vector<std::string> expected{
+        "9:9 workspace.a.burst: expected a number from 0 to 2000000 (requests) (E2005 config-out-of-bounds)",
+        "11:29 workspace.b.keys: expected a key that workspace.a does not have (E2007 config-duplicate)",
+        "12:23 workspace.b.requests_per_second: expected a number from 0 to",
+        "14:9 workspace.c.keys: expected a list of strings",
+        "14:18 workspace.c.keys: expected a list of strings",
+        "14:40 workspace.c.keys: expected a list of strings",
+        "15:23 workspace.c.requests_per_second: expected a number from 0 to",
+        "16:1 workspace.d.keys: expected a list of strings",
+        "17:14 workspace.d.importance: expected an integer from 0 to 9",
+        "18:1 workspace.d.key: expected a key that docs/CONFIGURATION.md lists",
+        "19:1 workspace.d.public: expected a key that docs/CONFIGURATION.md lists",
+    };
+    for (const auto &mistake : expected) {
+        CHECK_THAT(shown, Catch::Matchers::Contains(mistake));
+    }
+    CHECK(static_cast<std::size_t>(std::count(shown.begin(), shown.end(), '\n')) == expected.size());
+    CHECK_THAT(shown, !Catch::Matchers::Contains(key));
+}
