Read the platform's tenants as workspaces

The platform's documents may have tenants with keys, and routes that are public or of the kind download; both were ignored, and download counted as not idempotent. They are read into the product's types. Shared and empty keys, limits below 0 and names that no header can carry are refused, as the rest of an invalid document. The setting fail_closed goes into the stored file where it is true, so files of other deployments keep their bytes.

The log line file-decided shows the difference of two documents: keys in it are replaced by the first 4 bytes of their digests. An operator still reads back what was sent.

--- a/tests/platform/configurationfile.cpp
+++ b/tests/platform/configurationfile.cpp
@@ -1,5 +1,6 @@
 #include "platform/configurationfile.h"
 #include "changes/ledger.h"
+#include "configuration/keydigest.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -31,6 +32,17 @@
         "limits":{"max_body_bytes":1024}})");
 }
 
+json sampleWithTenants()
+{
+    auto document = sample();
+    document["routes"]["reads"]["public"] = true;
+    document["routes"]["loans"]["public"] = false;
+    document["routes"]["loans"]["kind"] = "download";
+    document["tenants"] = json::parse(R"({"huka":{"api_keys":["key-1-of-huka","key-2-of-huka"],"priority":1,
+        "rate_per_s":303,"burst":10.5},"lena":{"api_keys":[]}})");
+    return document;
+}
+
 configuration::ParseResult parse(const json &document)
 {
     return platform::parseConfigurationFile(core::value(platform::makeConfigurationFile(document.dump(), settings())));
@@ -222,3 +234,99 @@
     CHECK(core::error(apply(stale)).code == core::ErrorCode::ConfigOutOfBounds);
     CHECK(ledger.activeConfiguration().version == 15);
 }
+
+TEST_CASE("tenants are read as workspaces with the digests of their keys")
+{
+    const auto parsed = parse(sampleWithTenants());
+    const auto *file = std::get_if<Configuration>(&parsed);
+    REQUIRE(file != nullptr);
+    CHECK(configuration::findRoute(*file, "a.example", "/a/x")->isPublic);
+    const auto *loans = configuration::findRoute(*file, "a.example", "/a/b/x");
+    CHECK_FALSE(loans->isPublic);
+    CHECK(loans->idempotency == configuration::Idempotency::Always);
+    REQUIRE(file->workspaces.size() == 2);
+    const auto &huka = file->workspaces.front();
+    CHECK(huka.name == core::WorkspaceName("huka"));
+    CHECK(huka.keys
+          == std::vector{configuration::digestOfKey("key-1-of-huka"), configuration::digestOfKey("key-2-of-huka")});
+    CHECK(huka.importance == 8U);
+    CHECK(huka.requestsPerSecond == 303);
+    CHECK(huka.burst == 10.5);
+    CHECK(file->workspaces.back().requestsPerSecond == 0);
+    CHECK(file->limits.keysWhenStale == configuration::WhenStale::Serve);
+}
+
+TEST_CASE("invalid tenants are refused, without their keys in the mistake")
+{
+    auto document = sampleWithTenants();
+    auto &tenants = document["tenants"];
+    const auto defect = GENERATE(range(0, 11));
+    CAPTURE(defect);
+    switch (defect) {
+    case 0:
+        tenants["lena"]["api_keys"] = {"key-2-of-huka"};
+        break;
+    case 1:
+        tenants["huka"]["rate_per_s"] = -1;
+        break;
+    case 2:
+        tenants["huka"]["burst"] = -0.5;
+        break;
+    case 3:
+        tenants["huka"]["priority"] = -1;
+        break;
+    case 4:
+        tenants["huka"]["api_keys"] = "key-1-of-huka";
+        break;
+    case 5:
+        tenants["huka"].erase("api_keys");
+        break;
+    case 6:
+        tenants["huka"]["api_keys"][1] = "";
+        break;
+    case 7:
+        tenants = json::array({tenants["huka"]});
+        break;
+    case 8:
+        tenants["a\r\nHost: b"] = tenants["lena"];
+        break;
+    case 9:
+        tenants["huka"] = "key-1-of-huka";
+        break;
+    default:
+        document["routes"]["reads"]["public"] = "yes";
+        break;
+    }
+    const auto parsed = parse(document);
+    const auto *mistakes = std::get_if<std::vector<configuration::Mistake>>(&parsed);
+    REQUIRE(mistakes != nullptr);
+    CHECK_THAT(configuration::describe(mistakes->front()), !Catch::Matchers::Contains("of-huka"));
+}
+
+TEST_CASE("the operator reads keys back, but the difference for logs hides them")
+{
+    const auto document = sampleWithTenants();
+    const auto file = core::value(platform::makeConfigurationFile(document.dump(), settings()));
+    CHECK(json::parse(platform::operatorDocument(file)) == document);
+    auto changed = document;
+    changed["tenants"]["lena"]["api_keys"] = {"key-1-of-lena"};
+    changed["tenantz"] = document["tenants"];
+    const auto next = core::value(platform::makeConfigurationFile(changed.dump(), settings()));
+    for (const auto &difference : {platform::describeDifference(file, next, 100000),
+                                   platform::describeDifference(next, file, 100000),
+                                   platform::describeDifference("", next, 100000)}) {
+        CHECK_THAT(difference, !Catch::Matchers::Contains("-of-"));
+    }
+    CHECK_THAT(platform::describeDifference(file, next, 100000),
+               Catch::Matchers::Contains("/tenants/lena/api_keys/-\",\"value\":\"sha256:"));
+}
+
+TEST_CASE("a deployment that fails closed does so for requests that need a key")
+{
+    auto closed = settings();
+    closed.failClosed = true;
+    const auto file = core::value(platform::makeConfigurationFile(sampleWithTenants().dump(), closed));
+    const auto limits = std::get<Configuration>(platform::parseConfigurationFile(file)).limits;
+    CHECK(limits.keysWhenStale == configuration::WhenStale::Refuse);
+    CHECK(limits.whenStale == configuration::WhenStale::Serve);
+}
--- a/tests/platform/settings.cpp
+++ b/tests/platform/settings.cpp
@@ -74,6 +74,19 @@
     CHECK(core::error(settings).detail.find("heartbeat") != std::string::npos);
 }
 
+TEST_CASE("fail_closed is true or false, and false unless it is given")
+{
+    const auto withBound = [](const std::string &bound) {
+        auto text = ValidSettings;
+        const std::string place = "\"new=kind\"";
+        return read(text.replace(text.find(place), place.size(), "\"" + bound + "\""));
+    };
+    CHECK_FALSE(core::value(read(ValidSettings)).failClosed);
+    CHECK_FALSE(core::value(withBound("fail_closed=false")).failClosed);
+    CHECK(core::value(withBound("fail_closed=true")).failClosed);
+    CHECK_FALSE(core::ok(withBound("fail_closed=maybe")));
+}
+
 TEST_CASE("a duration is a number with the unit ms or s")
 {
     CHECK(core::value(platform::parseDuration("1500ms")) == std::chrono::milliseconds(1500));
