Give files room for 10,000 workspaces

10,000 workspaces with four keys take 1.7 to 2.2 MB, but a file was limited to 1 MiB. The limit is 4 MiB now.

--- a/src/configuration/syntax.cpp
+++ b/src/configuration/syntax.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-constexpr std::size_t MaxFileBytes = std::size_t{1} << 20;
+/** Twice what 10,000 workspaces with four keys each take. */
+constexpr std::size_t MaxFileBytes = std::size_t{4} << 20;
 /** Limit for the depth of dotted keys, far above what any key of the file needs. */
 constexpr auto MaxDotsPerLine = 128;
 /** Largest number of syntax errors reported for one file. */
