Find the workspace of a request by its key

KeyTable is built once from a configuration and never changes, so requests share it without a lock. identify() replaces the hook that was agreed on before: only how a key is read from a head varies between protocols, not the decision.

--- a/src/workspaces/caller.h
+++ b/src/workspaces/caller.h
@@ -5,9 +5,12 @@
 #pragma once
 
 #include "configuration/model.h"
+#include "core/enumtable.h"
 #include "core/error.h"
+#include "workspaces/keytable.h"
 
-#include <functional>
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -15,18 +18,46 @@
 namespace pimentoshed::workspaces
 {
 
+/** How many keys a request carries. */
+enum class KeyPresence : std::uint8_t {
+    Missing,
+    Single,
+    /** Several, of which a target behind another front end might take another one. */
+    Several,
+};
+
+inline constexpr std::array KeyPresenceNames{
+    core::EnumName<KeyPresence>{KeyPresence::Missing, "missing"},
+    core::EnumName<KeyPresence>{KeyPresence::Single, "single"},
+    core::EnumName<KeyPresence>{KeyPresence::Several, "several"},
+};
+
+/** What a request shows of its key: it is kept instead of the key. */
+struct PresentedKey {
+    KeyPresence presence = KeyPresence::Missing;
+    /** Of a single key. */
+    configuration::KeyDigest digest{};
+};
+
+/** Returns what a request with these @p keys shows; an empty one counts as missing. */
+PresentedKey presentKeys(std::span<const std::string_view> keys);
+
 /** The workspace of a request. */
 struct Caller {
-    /** None on a public route, and in a configuration without workspaces. */
+    /** None on a public route without a valid key, and in a configuration without workspaces. */
     std::shared_ptr<const configuration::Workspace> workspace;
 };
 
+/** Whether requests to @p route need a key of a workspace. */
+bool needsKey(const configuration::Configuration &configuration, const configuration::Route &route);
+
 /**
- * Identifies the caller of a request to @p route by @p credentials: the values of the headers that carry keys, in the
- * order of the request. Error KeyUnknown if the route needs a key, and there is not exactly one that a workspace holds.
+ * Identifies the caller of a request to @p route that carries @p key, by the @p table of the keys of @p configuration.
+ * Error KeyUnknown if the route needs a key, and there is not exactly one that a workspace holds.
  */
-using IdentifyHook = std::function<core::Result<Caller>(const configuration::Configuration &,
-                                                        const configuration::Route &route,
-                                                        std::span<const std::string_view> credentials)>;
+core::Result<Caller> identify(const configuration::Configuration &configuration,
+                              const KeyTable &table,
+                              const configuration::Route &route,
+                              const PresentedKey &key);
 
 } // namespace pimentoshed::workspaces
