Read keys from requests, and send the workspace's name instead

Callers' keys reached targets, and callers could name a workspace themselves. Each protocol has hooks that read the key and replace it, and what the caller says about its workspace, by the workspace's name: Pimentoshed-Key and Pimentoshed-Workspace, on the platform Authorization: Bearer and X-Tenant. Several keys count as none, also if they are equal. A refusal for a key has status 401 with WWW-Authenticate.

--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -21,6 +21,10 @@
 
 /** Request header: milliseconds left until the deadline. */
 inline constexpr std::string_view DeadlineHeader = "Pimentoshed-Deadline-Ms";
+/** Request header: the caller's key. Never sent to targets in a configuration with workspaces. */
+inline constexpr std::string_view KeyHeader = "Pimentoshed-Key";
+/** Request header: the name of the caller's workspace, for targets. */
+inline constexpr std::string_view WorkspaceHeader = "Pimentoshed-Workspace";
 /** Header of refusals: whether the request was run at a target, as a name from requests::RunStateNames. */
 inline constexpr std::string_view RunHeader = "Pimentoshed-Run";
 
--- a/src/http/protocolhooks.cpp
+++ b/src/http/protocolhooks.cpp
@@ -4,6 +4,8 @@
 
 #include <charconv>
 #include <fmt/format.h>
+#include <string_view>
+#include <vector>
 
 namespace pimentoshed::http
 {
@@ -34,11 +36,32 @@
     head.set({DeadlineHeader.data(), DeadlineHeader.size()}, fmt::format("{}", millis.count()));
 }
 
+workspaces::PresentedKey callerKey(const RequestHead &head)
+{
+    std::vector<std::string_view> keys;
+    const auto [begin, end] = head.equal_range({KeyHeader.data(), KeyHeader.size()});
+    for (auto at = begin; at != end; ++at) {
+        keys.emplace_back(at->value().data(), at->value().size());
+    }
+    return workspaces::presentKeys(keys);
+}
+
+void setWorkspace(RequestHead &head, const core::WorkspaceName &workspace)
+{
+    head.erase({KeyHeader.data(), KeyHeader.size()});
+    head.erase({WorkspaceHeader.data(), WorkspaceHeader.size()});
+    if (!workspace.empty()) {
+        head.set({WorkspaceHeader.data(), WorkspaceHeader.size()}, workspace.str());
+    }
+}
+
 status statusOf(ErrorCode code)
 {
     switch (code) {
     case ErrorCode::NoSuchService:
         return status::not_found;
+    case ErrorCode::KeyUnknown:
+        return status::unauthorized;
     case ErrorCode::RequestMalformed:
     case ErrorCode::RequestKeyMissing:
         return status::bad_request;
@@ -61,6 +84,9 @@
 Reply makeRefusal(const RefusalDetails &details)
 {
     auto reply = errorReply(statusOf(details.outcome.failure->code), *details.outcome.failure);
+    if (reply.status == status::unauthorized) {
+        reply.headers.emplace_back("WWW-Authenticate", KeyHeader);
+    }
     reply.headers.emplace_back(RunHeader, core::nameOf(requests::RunStateNames, details.outcome.run));
     return reply;
 }
@@ -74,6 +100,8 @@
             },
             callerTimeout,
             setRequestHeaders,
+            callerKey,
+            setWorkspace,
             [](const RequestHead &, const AnswerHead &) {
                 return AnswerClassification{};
             },
--- a/src/http/protocolhooks.h
+++ b/src/http/protocolhooks.h
@@ -10,6 +10,7 @@
 #include "http/exchange.h"
 #include "requests/outcome.h"
 #include "routing/targetsignals.h"
+#include "workspaces/caller.h"
 
 #include <functional>
 #include <optional>
@@ -58,6 +59,13 @@
     std::function<core::Result<std::optional<core::Duration>>(const Exchange &)> callerTimeout;
     /** Sets the headers of a request to target @p id, with @p left until the deadline. */
     std::function<void(RequestHead &, const core::TargetId &id, core::Duration left)> setRequestHeaders;
+    /** Returns what a request shows of its caller's key. */
+    std::function<workspaces::PresentedKey(const RequestHead &)> callerKey;
+    /**
+     * Removes callers' keys from the head of a request, and whatever its caller says about its workspace. Then names
+     * @p workspace unless it is empty. Not called in a configuration without workspaces.
+     */
+    std::function<void(RequestHead &, const core::WorkspaceName &workspace)> setWorkspace;
     /** Classifies the head of a final response, given the request's head as it was forwarded. */
     std::function<AnswerClassification(const RequestHead &, const AnswerHead &)> classifyAnswer;
     /** Makes the head of a probe request for the load of target @p id at @p path. */
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -13,6 +13,7 @@
 #include "requests/outcome.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace pimentoshed::http
@@ -35,6 +36,8 @@
      */
     std::size_t answerBufferBytes = 0;
     core::TargetId target;
+    /** The caller's workspace, empty if it has none. Unset in a configuration without workspaces. */
+    std::optional<core::WorkspaceName> workspace;
     /** Must outlive the attempt. If null, defaultProtocolHooks() are used. */
     const ProtocolHooks *protocolHooks = nullptr;
     MinimumRate minimumRate;
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -148,6 +148,9 @@
     m_sentHead = m_exchange.forwardHead();
     m_sentHead.version(Version11);
     m_protocolHooks.setRequestHeaders(m_sentHead, m_options.target, timeUntil(m_options.deadline));
+    if (m_options.workspace) {
+        m_protocolHooks.setWorkspace(m_sentHead, *m_options.workspace);
+    }
     auto bytes = encode(m_sentHead);
     headBytes = bytes.size();
     const auto &body = m_exchange.body();
--- a/tests/http/relay.cpp
+++ b/tests/http/relay.cpp
@@ -358,3 +358,50 @@
         CHECK(server.nextResult().outcome.run == RunState::Ran);
     }
 }
+
+TEST_CASE("a target gets the name of the workspace, and neither the key nor what the caller says about its workspace")
+{
+    const auto workspace = GENERATE(std::optional<core::WorkspaceName>(),
+                                    std::optional(core::WorkspaceName("w")),
+                                    std::optional(core::WorkspaceName()));
+    std::string head;
+    ScriptedTarget target([&head](RawSocket &socket, unsigned) {
+        head = socket.readUntil("\r\n\r\n");
+        socket.write("HTTP/1.1 204 No Content\r\n\r\n");
+    });
+    auto options = relayOptions(false);
+    options.workspace = workspace;
+    RelayServer server(target.address(), options);
+    auto caller = server.caller();
+    caller.write("GET /a HTTP/1.1\r\nHost: x\r\npimentoshed-KEY: k1\r\nPimentoshed-Key: k2\r\n"
+                 "Pimentoshed-Workspace: v\r\npimentoshed-workspace: v\r\n\r\n");
+    CHECK(caller.readUntil("\r\n").find("204") != std::string::npos);
+    CHECK((head.find("k1") != std::string::npos) == !workspace.has_value());
+    CHECK((head.find("k2") != std::string::npos) == !workspace.has_value());
+    CHECK((head.find(": v\r\n") != std::string::npos) == !workspace.has_value());
+    CHECK((head.find("Pimentoshed-Workspace: w\r\n") != std::string::npos) == (workspace == core::WorkspaceName("w")));
+}
+
+TEST_CASE("a request's key is the value of its single Pimentoshed-Key header")
+{
+    const auto presenceOf = [](const std::vector<std::string> &values) {
+        http::RequestHead head;
+        for (const auto &value : values) {
+            head.insert("pimentoshed-key", value);
+        }
+        return http::defaultProtocolHooks().callerKey(head).presence;
+    };
+    CHECK(presenceOf({}) == workspaces::KeyPresence::Missing);
+    CHECK(presenceOf({""}) == workspaces::KeyPresence::Missing);
+    CHECK(presenceOf({"k1"}) == workspaces::KeyPresence::Single);
+    CHECK(presenceOf({"k1", "k1"}) == workspaces::KeyPresence::Several);
+}
+
+TEST_CASE("a refusal for a key has status 401 and names the header")
+{
+    const auto reply = http::defaultProtocolHooks().makeRefusal(
+        {{requests::RunState::NotRun, core::Error{core::ErrorCode::KeyUnknown, {}}}, {}});
+    CHECK(reply.status == boost::beast::http::status::unauthorized);
+    CHECK(std::count(reply.headers.begin(), reply.headers.end(), http::Header("WWW-Authenticate", "Pimentoshed-Key"))
+          == 1);
+}
--- a/tests/platform/httpprotocol.cpp
+++ b/tests/platform/httpprotocol.cpp
@@ -1,5 +1,7 @@
 #include "platform/httpprotocol.h"
 
+#include "configuration/keydigest.h"
+
 #include <catch2/catch.hpp>
 
 using namespace pimentoshed;
@@ -39,8 +41,80 @@
     return static_cast<unsigned>(reply.status);
 }
 
+/** The head of a request with @p values as its Authorization headers. */
+http::RequestHead withAuthorization(const std::vector<std::string> &values)
+{
+    auto head = request();
+    for (const auto &value : values) {
+        head.insert("aUTHORIZATION", value);
+    }
+    return head;
+}
+
+workspaces::PresentedKey keyOf(const std::vector<std::string> &values)
+{
+    return platform::platformProtocolHooks().callerKey(withAuthorization(values));
+}
+
+/** The Authorization and X-Tenant headers of a request with @p head for the workspace @p name, as a target gets it. */
+std::string sentCredentials(http::RequestHead head, const std::string &name)
+{
+    platform::platformProtocolHooks().setWorkspace(head, core::WorkspaceName(name));
+    std::string sent;
+    for (const auto &header : head) {
+        if (header.name_string() != "X-Request-Id") {
+            sent += std::string(header.name_string()) + "=" + std::string(header.value()) + ";";
+        }
+    }
+    return sent;
+}
+
 } // namespace
 
+TEST_CASE("a key is the token of a single Authorization header with the scheme Bearer, in any case")
+{
+    using workspaces::KeyPresence;
+    for (const auto *text : {"Bearer key-1", "bearer key-1", "BEARER   key-1", "Bearer\tkey-1"}) {
+        CAPTURE(text);
+        CHECK(keyOf({text}).presence == KeyPresence::Single);
+        CHECK(keyOf({text}).digest == configuration::digestOfKey("key-1"));
+    }
+    for (const auto *text : {"", "Bearer", "Bearer ", "Basic key-1", "key-1", "Bearerkey-1", "Bearer=key-1"}) {
+        CAPTURE(text);
+        CHECK(keyOf({text}).presence == KeyPresence::Missing);
+    }
+    for (const auto *text :
+         {"Bearer key-1, Bearer key-2", "Bearer key-1 key-2", "Bearer Bearer key-1", "Bearer KEY-1"}) {
+        CAPTURE(text);
+        CHECK(keyOf({text}).digest != configuration::digestOfKey("key-1"));
+    }
+    CHECK(keyOf({}).presence == KeyPresence::Missing);
+    CHECK(keyOf({"Bearer key-1", "Bearer key-1"}).presence == KeyPresence::Several);
+    CHECK(keyOf({"Basic abc", "Bearer key-1"}).presence == KeyPresence::Several);
+}
+
+TEST_CASE("a target gets the name of the workspace instead of the key, whatever the caller sent as X-Tenant")
+{
+    CHECK(sentCredentials(withAuthorization({"Bearer key-1"}), "huka") == "X-Tenant=huka;");
+    auto spoofed = withAuthorization({"bearer key-1"});
+    spoofed.insert("x-tENANT", "lena");
+    spoofed.insert("X-Tenant", "huka");
+    spoofed.insert("X-TENANT", "");
+    CHECK(sentCredentials(spoofed, "huka") == "X-Tenant=huka;");
+    // Requests of public routes.
+    CHECK(sentCredentials(spoofed, "").empty());
+    CHECK(sentCredentials(withAuthorization({"Bearer key-1", "Basic abc"}), "").empty());
+    CHECK(sentCredentials(withAuthorization({"Basic abc"}), "") == "aUTHORIZATION=Basic abc;");
+}
+
+TEST_CASE("a request without a valid key gets status 401, which names the scheme")
+{
+    const auto reply = platform::platformProtocolHooks().makeRefusal(
+        {{RunState::NotRun, core::Error{core::ErrorCode::KeyUnknown, {}}}, std::chrono::milliseconds(250)});
+    CHECK(reply.status == status::unauthorized);
+    CHECK(reply.headers == std::vector<http::Header>{{"WWW-Authenticate", "Bearer"}});
+}
+
 TEST_CASE("only a signed, unencoded response with the id of the request is genuine")
 {
     CHECK(kindOf(answer(status::ok, {{"X-Request-Id", "r1"}, {"X-Response-Sig", "s"}})) == AnswerKind::Genuine);
