Refuse requests without a valid key, and look keys up again while they wait

Requests were run whatever key they carried. Each request is identified where it finds its route, and again where it follows another configuration while it waits, by the digest that it keeps. Nothing is kept with a connection. A host that can't confirm its configuration answers 503 instead of 401; with keysWhenStale set to refuse, it answers all that need a key so.

Refusals are counted by route and logged with their reason, never with the key.

--- a/src/entry/activerequest.h
+++ b/src/entry/activerequest.h
@@ -4,13 +4,14 @@
  */
 #pragma once
 
-#include "changes/ledger.h"
 #include "core/ids.h"
+#include "entry/clusterview.h"
 #include "http/exchange.h"
 #include "requests/outcome.h"
 #include "requests/requestsinprogress.h"
 #include "requests/retrypolicy.h"
 #include "requests/waitingrequest.h"
+#include "workspaces/caller.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
@@ -20,15 +21,18 @@
 namespace pimentoshed::entry
 {
 
-using ConfigurationRef = std::shared_ptr<const changes::ActiveConfiguration>;
+using ConfigurationRef = std::shared_ptr<const EntryConfiguration>;
 
 /** A request in progress. Belongs to the coroutine of its exchange. */
 struct ActiveRequest {
     http::Exchange &exchange;
     /** The times of the request, and what ends its wait. */
     requests::WaitingRequest waiting;
-    /** The configuration that the request follows, and its route and service there. */
+    /** Read from the head, because the body's trailers could add others. */
+    workspaces::PresentedKey key{};
+    /** The configuration that the request follows, and its caller, route and service there. */
     ConfigurationRef active{};
+    workspaces::Caller caller{};
     const configuration::Route *route = nullptr;
     const configuration::Service *service = nullptr;
     /** The request's row in the table of requests in progress; none until its deadline is known. */
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -149,6 +149,9 @@
     options.answerBufferBytes = m_dependencies.options.answerBufferBytes;
     options.target = target.id;
     options.protocolHooks = &m_dependencies.protocolHooks;
+    if (!request.active->configuration->workspaces.empty()) {
+        options.workspace = request.caller.workspace ? request.caller.workspace->name : core::WorkspaceName();
+    }
     return options;
 }
 
--- a/src/entry/callerhandlerdependencies.h
+++ b/src/entry/callerhandlerdependencies.h
@@ -55,6 +55,8 @@
     std::function<void(const configuration::Service &)> onFirstAttempt;
     /** Called at the end of each request that was relayed or refused. */
     std::function<void(const telemetry::CompletedRequest &)> onRequestEnd;
+    /** Called for each refusal of a request for its key. */
+    std::function<void(const core::RouteName &)> onKeyRefused;
     /** The stop of this host; nothing unless it is stopping. */
     std::function<std::optional<requests::HostStop>()> hostStop;
     http::ProtocolHooks protocolHooks;
--- a/src/entry/clusterview.cpp
+++ b/src/entry/clusterview.cpp
@@ -7,11 +7,14 @@
 
 bool ClusterView::adopt(changes::ActiveConfiguration active)
 {
+    // Made before the lock is taken, because it takes milliseconds for many keys.
+    workspaces::KeyTable keys(active.configuration);
+    auto made = std::make_shared<const EntryConfiguration>(EntryConfiguration{std::move(active), std::move(keys)});
     const core::Lock lock(m_mutex);
-    if (m_active && active.revision <= m_active->revision) {
+    if (m_active && made->revision <= m_active->revision) {
         return false;
     }
-    m_active = std::make_shared<const changes::ActiveConfiguration>(std::move(active));
+    m_active = std::move(made);
     return true;
 }
 
@@ -29,7 +32,7 @@
     membership::apply(update, m_hosts);
 }
 
-core::Result<std::shared_ptr<const changes::ActiveConfiguration>> ClusterView::current(core::TimePoint now) const
+core::Result<std::shared_ptr<const EntryConfiguration>> ClusterView::current(core::TimePoint now) const
 {
     const core::Lock lock(m_mutex);
     const bool current = m_active && now < m_permission.end(m_active->configuration->limits.permission);
@@ -46,7 +49,7 @@
     return m_active ? m_permission.end(m_active->configuration->limits.permission) : core::TimePoint();
 }
 
-std::shared_ptr<const changes::ActiveConfiguration> ClusterView::latest() const
+std::shared_ptr<const EntryConfiguration> ClusterView::latest() const
 {
     const core::Lock lock(m_mutex);
     return m_active;
--- a/src/entry/clusterview.h
+++ b/src/entry/clusterview.h
@@ -8,6 +8,7 @@
 #include "core/rankedmutex.h"
 #include "membership/permission.h"
 #include "membership/versionedhosttable.h"
+#include "workspaces/keytable.h"
 
 #include <memory>
 #include <vector>
@@ -15,6 +16,11 @@
 namespace pimentoshed::entry
 {
 
+/** The active configuration of an entry host, with the table that is made of it. */
+struct EntryConfiguration : changes::ActiveConfiguration {
+    workspaces::KeyTable keys;
+};
+
 /** The revision of the active configuration never decreases. Thread-safe; lock rank Configuration. */
 class ClusterView
 {
@@ -38,10 +44,10 @@
      * Returns the active configuration if this host may act on it at @p now: it is confirmed as current, or its limits
      * set whenStale to Serve. Error: NotCurrent.
      */
-    core::Result<std::shared_ptr<const changes::ActiveConfiguration>> current(core::TimePoint now) const;
+    core::Result<std::shared_ptr<const EntryConfiguration>> current(core::TimePoint now) const;
 
     /** Returns the stored active configuration, current or not; nullptr before the first one. */
-    std::shared_ptr<const changes::ActiveConfiguration> latest() const;
+    std::shared_ptr<const EntryConfiguration> latest() const;
 
     std::uint64_t revision() const;
     std::vector<membership::EntryHost> hosts() const;
@@ -49,7 +55,7 @@
 
 private:
     mutable core::RankedMutex m_mutex{core::LockRank::Configuration};
-    std::shared_ptr<const changes::ActiveConfiguration> m_active;
+    std::shared_ptr<const EntryConfiguration> m_active;
     membership::Permission m_permission;
     membership::HostMap m_hosts;
 };
--- a/src/entry/configurationfollower.cpp
+++ b/src/entry/configurationfollower.cpp
@@ -1,7 +1,10 @@
 #include "entry/configurationfollower.h"
 
+#include "core/log.h"
+
 #include <algorithm>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 namespace pimentoshed::entry
@@ -41,6 +44,10 @@
     if (route == nullptr) {
         return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
     }
+    auto caller = identifyCaller(request, *active, *route);
+    if (!core::ok(caller)) {
+        return core::error(caller);
+    }
     const bool keepsService = request.service != nullptr && leadsTo(*route, request.service->name);
     const auto *service =
         configuration::findService(configuration, keepsService ? request.service->name : chooseService(*route));
@@ -49,6 +56,7 @@
     }
     const bool idempotent = configuration::isIdempotent(*route, *service, exchange.method());
     request.active = active;
+    request.caller = std::move(core::value(caller));
     request.route = route;
     request.service = service;
     request.waiting.follow(route->latencyObjective, idempotent);
@@ -59,6 +67,35 @@
     return std::monostate{};
 }
 
+core::Status ConfigurationFollower::checkKeys(const ActiveRequest &request) const
+{
+    if (workspaces::mayUseKeys(*request.active->configuration, *request.route, isCurrent())) {
+        return std::monostate{};
+    }
+    return core::Error{ErrorCode::NotCurrent, "keys may have been taken away"};
+}
+
+core::Result<workspaces::Caller> ConfigurationFollower::identifyCaller(const ActiveRequest &request,
+                                                                       const EntryConfiguration &active,
+                                                                       const configuration::Route &route) const
+{
+    auto caller = workspaces::identify(*active.configuration, active.keys, route, request.key, isCurrent());
+    if (!core::ok(caller) && core::error(caller).code == ErrorCode::KeyUnknown) {
+        core::log(core::LogLevel::Info,
+                  "key-refused",
+                  {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
+                   {"route", route.name.str()},
+                   {"reason", core::error(caller).detail}});
+        m_dependencies.onKeyRefused(route.name);
+    }
+    return caller;
+}
+
+bool ConfigurationFollower::isCurrent() const
+{
+    return m_dependencies.timers.now() < m_dependencies.view.currentUntil();
+}
+
 core::ServiceName ConfigurationFollower::chooseService(const configuration::Route &route) const
 {
     double total = 0;
--- a/src/entry/configurationfollower.h
+++ b/src/entry/configurationfollower.h
@@ -17,12 +17,23 @@
     explicit ConfigurationFollower(const CallerHandlerDependencies &dependencies);
 
     /**
-     * Makes @p request follow the configuration @p active: finds its route there, and picks a service unless the route
-     * still leads to the one it has. Errors: NoSuchService, RequestKeyMissing.
+     * Makes @p request follow the configuration @p active: finds its route and its caller there, and picks a service
+     * unless the route still leads to the one it has. Errors: NoSuchService, RequestKeyMissing, and those of
+     * workspaces::identify().
      */
     core::Status follow(ActiveRequest &request, const ConfigurationRef &active) const;
 
+    /** Whether this host may still decide by the keys of the configuration that @p request follows. Error: NotCurrent.
+     */
+    core::Status checkKeys(const ActiveRequest &request) const;
+
 private:
+    /** Identifies the caller of a request to @p route in @p active, and reports a refusal for its key. */
+    core::Result<workspaces::Caller> identifyCaller(const ActiveRequest &request,
+                                                    const EntryConfiguration &active,
+                                                    const configuration::Route &route) const;
+    /** Whether this host knows that its configuration is current. */
+    bool isCurrent() const;
     /** Picks one of the route's services at random, in proportion to their weights. */
     core::ServiceName chooseService(const configuration::Route &route) const;
 
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -185,6 +185,9 @@
                                                            [this](const telemetry::CompletedRequest &end) {
                                                                m_metrics.countRequest(end);
                                                            },
+                                                           [this](const core::RouteName &route) {
+                                                               countKeyRefusal(route);
+                                                           },
                                                            [this]() {
                                                                return m_stopping ? std::optional(m_stop) : std::nullopt;
                                                            },
@@ -305,6 +308,11 @@
         };
     }
 
+    void countKeyRefusal(const core::RouteName &route)
+    {
+        m_metrics.add(telemetry::Metric::KeyRefusals, {{"route", route.str()}}, 1);
+    }
+
     /** Sets the gauges, from the same sources as the state page. */
     void updateGauges(telemetry::Registry &metrics) const
     {
--- a/src/entry/requestidentification.cpp
+++ b/src/entry/requestidentification.cpp
@@ -15,6 +15,7 @@
 
 core::Status RequestIdentification::identify(ActiveRequest &request, const ConfigurationRef &active) const
 {
+    request.key = m_dependencies.protocolHooks.callerKey(request.exchange.request());
     if (auto followed = m_follower.follow(request, active); !core::ok(followed)) {
         return followed;
     }
--- a/src/entry/requestidentification.h
+++ b/src/entry/requestidentification.h
@@ -9,14 +9,14 @@
 namespace pimentoshed::entry
 {
 
-/** Finds the route, the service and the deadline of a request. */
+/** Finds the route, the service, the caller and the deadline of a request. */
 class RequestIdentification
 {
 public:
     RequestIdentification(const CallerHandlerDependencies &dependencies, const ConfigurationFollower &follower);
 
     /**
-     * Identifies @p request by the configuration @p active. Errors: NoSuchService, RequestKeyMissing, and those of the
+     * Identifies @p request by the configuration @p active. Errors: those of ConfigurationFollower::follow() and of the
      * protocol's time limit. The request's service is set also if the error is found after it.
      */
     core::Status identify(ActiveRequest &request, const ConfigurationRef &active) const;
--- a/src/entry/targetassignment.cpp
+++ b/src/entry/targetassignment.cpp
@@ -146,6 +146,9 @@
     if (const auto ended = request.waiting.ended(found)) {
         return *ended;
     }
+    if (const auto checked = m_follower.checkKeys(request); !core::ok(checked)) {
+        return core::error(checked);
+    }
     routing::AssignOptions options;
     options.excludedTargets = request.triedTargets;
     options.objective = request.waiting.timeLeft(found.usualProcessingTime, found.now);
--- a/src/workspaces/caller.cpp
+++ b/src/workspaces/caller.cpp
@@ -28,26 +28,40 @@
     return !configuration.workspaces.empty() && !route.isPublic;
 }
 
+bool mayUseKeys(const configuration::Configuration &configuration, const configuration::Route &route, bool isCurrent)
+{
+    return isCurrent || !needsKey(configuration, route)
+           || configuration.limits.keysWhenStale == configuration::WhenStale::Serve;
+}
+
 core::Result<Caller> identify(const configuration::Configuration &configuration,
                               const KeyTable &table,
                               const configuration::Route &route,
-                              const PresentedKey &key)
+                              const PresentedKey &key,
+                              bool isCurrent)
 {
+    if (!mayUseKeys(configuration, route, isCurrent)) {
+        return core::Error{core::ErrorCode::NotCurrent, "keys may have been taken away"};
+    }
     Caller caller;
     if (key.presence == KeyPresence::Single) {
         caller.workspace = table.find(key.digest);
     }
-    if (caller.workspace == nullptr && needsKey(configuration, route)) {
-        switch (key.presence) {
-        case KeyPresence::Missing:
-            return core::Error{core::ErrorCode::KeyUnknown, "the request carries no key"};
-        case KeyPresence::Several:
-            return core::Error{core::ErrorCode::KeyUnknown, "the request carries several keys"};
-        case KeyPresence::Single:
-            return core::Error{core::ErrorCode::KeyUnknown, "no workspace holds the request's key"};
-        }
+    if (caller.workspace != nullptr || !needsKey(configuration, route)) {
+        return caller;
+    }
+    if (key.presence == KeyPresence::Single && !isCurrent) {
+        return core::Error{core::ErrorCode::NotCurrent, "the key may have been added"};
+    }
+    switch (key.presence) {
+    case KeyPresence::Missing:
+        return core::Error{core::ErrorCode::KeyUnknown, "the request carries no key"};
+    case KeyPresence::Several:
+        return core::Error{core::ErrorCode::KeyUnknown, "the request carries several keys"};
+    case KeyPresence::Single:
+        break;
     }
-    return caller;
+    return core::Error{core::ErrorCode::KeyUnknown, "no workspace holds the request's key"};
 }
 
 } // namespace pimentoshed::workspaces
--- a/src/workspaces/caller.h
+++ b/src/workspaces/caller.h
@@ -51,13 +51,21 @@
 /** Whether requests to @p route need a key of a workspace. */
 bool needsKey(const configuration::Configuration &configuration, const configuration::Route &route);
 
+/**
+ * Whether a host may decide by the keys of @p configuration about requests to @p route. @p isCurrent says whether the
+ * host knows that no other configuration has replaced it.
+ */
+bool mayUseKeys(const configuration::Configuration &configuration, const configuration::Route &route, bool isCurrent);
+
 /**
  * Identifies the caller of a request to @p route that carries @p key, by the @p table of the keys of @p configuration.
- * Error KeyUnknown if the route needs a key, and there is not exactly one that a workspace holds.
+ * Errors if the route needs a key: KeyUnknown if there is not exactly one that a workspace holds, NotCurrent if a newer
+ * configuration may say otherwise, or if mayUseKeys() is false.
  */
 core::Result<Caller> identify(const configuration::Configuration &configuration,
                               const KeyTable &table,
                               const configuration::Route &route,
-                              const PresentedKey &key);
+                              const PresentedKey &key,
+                              bool isCurrent);
 
 } // namespace pimentoshed::workspaces
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -165,8 +165,10 @@
 void PlatformTarget::answer(http::Exchange &exchange)
 {
     constexpr std::uint64_t BodyBytes = 65536;
-    const ReceivedRequest request{
-        core::steadyNow(), std::string(exchange.path()), std::string(exchange.header("X-Request-Id"))};
+    const ReceivedRequest request{core::steadyNow(),
+                                  std::string(exchange.path()),
+                                  std::string(exchange.header("X-Request-Id")),
+                                  exchange.request()};
     exchange.readBody(BodyBytes);
     {
         const std::lock_guard lock(m_mutex);
@@ -289,6 +291,16 @@
     return m_folder.path() / (name + ".toml");
 }
 
+std::string PlatformFleet::entryLog(unsigned number) const
+{
+    return support::readFile(logFile(fmt::format("entry-{}", number)));
+}
+
+std::string PlatformFleet::controlLog(unsigned number) const
+{
+    return support::readFile(logFile(fmt::format("control-{}", number)));
+}
+
 std::string PlatformFleet::logFile(const std::string &name) const
 {
     return m_folder.path() / (name + ".log");
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -25,6 +25,7 @@
     core::TimePoint at{};
     std::string path;
     std::string id;
+    http::RequestHead head{};
 
     bool isProbe() const;
 };
@@ -122,6 +123,9 @@
     /** The path of the settings file of entry host @p number or of control host @p number. */
     std::string entrySettings(unsigned number) const;
     std::string controlSettings(unsigned number) const;
+    /** What entry host @p number or control host @p number has logged. */
+    std::string entryLog(unsigned number) const;
+    std::string controlLog(unsigned number) const;
     /** Kills entry host @p number and starts it again. */
     void restartEntry(unsigned number);
     /** Kills all control hosts, calls @p beforeStart with the data folder of each, and starts them again. */
--- a/tests/workspaces/caller.cpp
+++ b/tests/workspaces/caller.cpp
@@ -19,14 +19,18 @@
     return made;
 }
 
-/** The name of the workspace of a request with @p keys; "refused" if it is, and empty if it belongs to none. */
+/** The name of the workspace of a request with @p keys, or how it is refused; empty if it belongs to none. */
 std::string identified(const std::shared_ptr<const Configuration> &configuration,
                        const Route &route,
-                       const std::vector<std::string_view> &keys)
+                       const std::vector<std::string_view> &keys,
+                       bool isCurrent = true)
 {
-    const auto caller =
-        workspaces::identify(*configuration, workspaces::KeyTable(configuration), route, workspaces::presentKeys(keys));
+    const auto caller = workspaces::identify(
+        *configuration, workspaces::KeyTable(configuration), route, workspaces::presentKeys(keys), isCurrent);
     if (!core::ok(caller)) {
+        if (core::error(caller).code == core::ErrorCode::NotCurrent) {
+            return "not current";
+        }
         CHECK(core::error(caller).code == core::ErrorCode::KeyUnknown);
         CHECK(core::error(caller).detail.find("key-") == std::string::npos);
         return "refused";
@@ -64,3 +68,25 @@
     CHECK(identified(std::make_shared<Configuration>(), {}, {"key-1"}).empty());
     CHECK(identified(std::make_shared<Configuration>(), {}, {}).empty());
 }
+
+TEST_CASE("identify: a host that is not current uses the keys that it knows, and calls no key unknown")
+{
+    const auto configuration = withOneWorkspace();
+    CHECK(identified(configuration, {}, {"key-1"}, false) == "w");
+    CHECK(identified(configuration, {}, {"key-2"}, false) == "not current");
+    // No configuration with workspaces allows these.
+    CHECK(identified(configuration, {}, {}, false) == "refused");
+    CHECK(identified(configuration, {}, {"key-1", "key-2"}, false) == "refused");
+}
+
+TEST_CASE("identify: a host that is not current uses no keys if the configuration says so")
+{
+    auto closed = std::make_shared<Configuration>(*withOneWorkspace());
+    closed->limits.keysWhenStale = configuration::WhenStale::Refuse;
+    Route route;
+    CHECK(identified(closed, route, {"key-1"}, false) == "not current");
+    CHECK(identified(closed, route, {"key-1"}) == "w");
+    route.isPublic = true;
+    CHECK(identified(closed, route, {"key-1"}, false) == "w");
+    CHECK(identified(closed, route, {}, false).empty());
+}
