--- a/src/core/rankedmutex.cpp
+++ b/src/core/rankedmutex.cpp
@@ -21,6 +21,7 @@
     EnumName<LockRank>{LockRank::Routing, "routing"},
     EnumName<LockRank>{LockRank::ColdTargets, "cold-targets"},
     EnumName<LockRank>{LockRank::Admission, "admission"},
+    EnumName<LockRank>{LockRank::Quotas, "quotas"},
     EnumName<LockRank>{LockRank::Requests, "requests"},
     EnumName<LockRank>{LockRank::Connections, "connections"},
     EnumName<LockRank>{LockRank::Timers, "timers"},
--- a/src/core/rankedmutex.h
+++ b/src/core/rankedmutex.h
@@ -21,6 +21,7 @@
     Routing = 50,
     ColdTargets = 55,
     Admission = 60,
+    Quotas = 65,
     Requests = 70,
     Connections = 80,
     Timers = 90,
