Look only at the workspaces that a host uses now

A host with thousands of limited workspaces looked at each of them for each request. It keeps a list of those with requests, waits or unused leases of the last seconds.

--- a/src/quotas/leaseholder.cpp
+++ b/src/quotas/leaseholder.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr core::Duration DemandMemory = std::chrono::seconds(1);
+/** Below this demand no request has come for most of DemandMemory. */
+constexpr double IdleDemand = 0.5;
 /** From this demand on a call in advance is cheaper than one for each request: a lease lasts about half a second. */
 constexpr double MinAheadDemand = 4;
 /** A lease in advance covers the demand of this time: half of its lifetime, so that most of it is used. */
@@ -75,11 +77,7 @@
 void LeaseHolder::giveBack(const configuration::Workspace &workspace, const Token &token)
 {
     const core::Lock lock(m_mutex);
-    const auto account = m_accounts.find(workspace.name);
-    if (account == m_accounts.end()) {
-        return;
-    }
-    for (auto &held : account->second.held) {
+    for (auto &held : accountOf(workspace).held) {
         if (held.call == token.call && held.unused < held.requests) {
             ++held.unused;
         }
@@ -103,8 +101,8 @@
         } else {
             ++m_failures;
             m_nextCall = now + (isOutOfTouch() ? OutOfTouchPause : RetryPause);
-            for (auto &[name, account] : m_accounts) {
-                for (auto &waiter : account.waiters) {
+            for (auto *account : m_active) {
+                for (auto &waiter : account->waiters) {
                     waiter.call = 0;
                 }
             }
@@ -147,8 +145,8 @@
 {
     const core::Lock lock(m_mutex);
     const auto now = m_dependencies.now();
-    return std::any_of(m_accounts.begin(), m_accounts.end(), [now](const auto &entry) {
-        return !entry.second.waiters.empty() || unusedOf(entry.second, now) > 0;
+    return std::any_of(m_active.begin(), m_active.end(), [now](const Account *account) {
+        return !account->waiters.empty() || unusedOf(*account, now) > 0;
     });
 }
 
@@ -183,6 +181,10 @@
     auto &account = m_accounts[workspace.name];
     account.limit = {workspace.requestsPerSecond, workspace.burst};
     account.counts.workspace = workspace.name;
+    if (!account.isActive) {
+        account.isActive = true;
+        m_active.push_back(&account);
+    }
     return account;
 }
 
@@ -291,7 +293,8 @@
 
 void LeaseHolder::answerWaiters(CallNumber number, core::TimePoint now, Actions &actions)
 {
-    for (auto &[name, account] : m_accounts) {
+    for (auto *active : m_active) {
+        auto &account = *active;
         std::deque<Waiter> left;
         for (auto &waiter : account.waiters) {
             if (const auto token = takeLeased(account, now)) {
@@ -311,7 +314,8 @@
 
 void LeaseHolder::endWaits(const std::function<bool(const Waiter &)> &isDue, core::TimePoint now, Actions &actions)
 {
-    for (auto &[name, account] : m_accounts) {
+    for (auto *active : m_active) {
+        auto &account = *active;
         std::deque<Waiter> left;
         for (auto &waiter : account.waiters) {
             if (isDue(waiter)) {
@@ -326,12 +330,14 @@
 
 void LeaseHolder::callIfDue(core::TimePoint now, Actions &actions)
 {
-    if (m_isCalling || now < m_nextCall || m_accounts.empty()) {
+    if (m_isCalling || now < m_nextCall) {
         return;
     }
+    dropIdle(now);
     LeaseCall call{m_dependencies.host, m_lastCall + 1, {}, {}};
     bool isReturnDue = false;
-    for (auto &[name, account] : m_accounts) {
+    for (auto *active : m_active) {
+        auto &account = *active;
         const auto ask = askFor(account, call.number, now);
         if (ask.waiting + ask.ahead > 0) {
             call.asks.push_back(ask);
@@ -343,8 +349,8 @@
     if (call.asks.empty() && !isReturnDue) {
         return;
     }
-    for (auto &[name, account] : m_accounts) {
-        collectReturns(account, now, call.returns);
+    for (auto *account : m_active) {
+        collectReturns(*account, now, call.returns);
     }
     m_lastCall = call.number;
     m_isCalling = true;
@@ -361,7 +367,7 @@
     const auto demand = demandOf(account, now);
     if (isOutOfTouch()) {
         // Only to learn whether the control hosts can be reached again.
-        ask.ahead = demand > 1 / core::toSeconds(DemandMemory) / 2 ? 1 : 0;
+        ask.ahead = demand >= IdleDemand ? 1 : 0;
     } else if (demand >= MinAheadDemand && now >= std::max(account.nextAhead, account.deniedUntil)) {
         const auto wanted = demand * AheadSeconds;
         const auto unused = static_cast<double>(unusedOf(account, now));
@@ -382,6 +388,15 @@
     }
 }
 
+void LeaseHolder::dropIdle(core::TimePoint now)
+{
+    std::erase_if(m_active, [now](Account *account) {
+        account->isActive =
+            !account->waiters.empty() || unusedOf(*account, now) > 0 || demandOf(*account, now) >= IdleDemand;
+        return !account->isActive;
+    });
+}
+
 bool LeaseHolder::isOutOfTouch() const
 {
     return m_failures >= OutOfTouchFailures;
--- a/src/quotas/leaseholder.h
+++ b/src/quotas/leaseholder.h
@@ -107,6 +107,8 @@
         /** When requests were sent from the reserve, within the last ReservePeriod. */
         std::deque<core::TimePoint> reserveUses;
         core::TimePoint lastLogged{};
+        /** Whether it is one of m_active. */
+        bool isActive = false;
         SpendCounts counts;
     };
 
@@ -140,12 +142,16 @@
     void callIfDue(core::TimePoint now, Actions &actions);
     Ask askFor(Account &account, CallNumber number, core::TimePoint now) const;
     static void collectReturns(Account &account, core::TimePoint now, std::vector<Return> &returns);
+    /** Drops the accounts that no request used of late, and that hold and wait for nothing. */
+    void dropIdle(core::TimePoint now);
     bool isOutOfTouch() const;
 
     const Dependencies m_dependencies;
     const core::TimePoint m_start;
     mutable core::RankedMutex m_mutex{core::LockRank::Quotas};
     std::unordered_map<core::WorkspaceName, Account> m_accounts;
+    /** The accounts of which something may be due: a host has thousands, and uses few at a time. */
+    std::vector<Account *> m_active;
     std::vector<core::HostId> m_hosts;
     CallNumber m_lastCall;
     bool m_isCalling = false;
