Lease the requests of workspaces from the control hosts

The rpc Lease passes the calls of quotas::LeaseHolder to the leader, directly or through the control host that the entry host follows. The leader answers while a quorum acknowledged a round that began less than half an election time-out ago. An entry host uses the next control host after a failed call.

New metrics: decisions at entry hosts; granted, returned, refused and leased requests at the leader; the messages.

The path of requests does not ask yet.

--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -85,6 +85,13 @@
     Members members;
     /** The progress of every other member; empty unless this member is the leader. */
     std::vector<MemberProgress> progress;
+    /** Whether this member is the leader and an entry of its term is committed. */
+    bool isTermCommitted = false;
+    /**
+     * If this member is the leader: when the newest round began that a quorum has acknowledged; the latest time if it
+     * is a quorum itself. Until the shortest election time-out has passed since, there is no other leader.
+     */
+    core::TimePoint quorumContact{};
     std::size_t pendingReads = 0;
     /** Whether a write or sync failed and the storage has not been restored since. */
     bool isStorageFailed = false;
--- a/src/consensus/replicaimpl.cpp
+++ b/src/consensus/replicaimpl.cpp
@@ -183,6 +183,8 @@
         for (const auto &[member, peer] : m_progress.peers()) {
             status.progress.push_back({member, peer.match, peer.lastContact});
         }
+        status.isTermCommitted = isTermCommitted();
+        status.quorumContact = m_progress.quorumContact(m_log.members(), leaderProgress(core::TimePoint::max()));
     }
     status.pendingReads = m_reads.size();
     status.isStorageFailed = m_isStorageFailed;
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -2,6 +2,7 @@
 
 #include "control/followrpchandler.h"
 #include "control/leaderforwarder.h"
+#include "control/leaserpchandler.h"
 #include "control/operatorhttphandler.h"
 #include "control/peerfollower.h"
 #include "control/replicatedstate.h"
@@ -14,6 +15,7 @@
 #include "http/server.h"
 #include "membership/targetknowledge.h"
 #include "membership/voterreplacement.h"
+#include "quotas/leaseholder.h"
 #include "rpc/codec.h"
 #include "rpc/commandcodec.h"
 #include "rpc/replicationcodec.h"
@@ -93,6 +95,7 @@
                            [this]() {
                                return m_targetKnowledge.isComplete(m_timers.now(), targetLease());
                            }})
+        , m_leaseHandler(leaseHandlerDependencies())
     {
     }
 
@@ -208,6 +211,31 @@
                 }};
     }
 
+    LeaseRpcHandler::Dependencies leaseHandlerDependencies()
+    {
+        return {[this]() {
+                    return m_replicator->status();
+                },
+                [this]() {
+                    return m_state.activeConfiguration();
+                },
+                [this](const core::HostId &leader,
+                       const rpc::LeaseRequest &request,
+                       const rpc::Responder<rpc::LeaseReply> &respond) {
+                    const auto client = m_peers.clientFor(leader);
+                    if (!client) {
+                        return false;
+                    }
+                    client->lease(request,
+                                  quotas::LeaseHolder::CallTimeout,
+                                  [respond](const core::Result<rpc::LeaseReply> &reply) {
+                                      respond(core::ok(reply) ? core::value(reply) : rpc::LeaseReply());
+                                  });
+                    return true;
+                },
+                core::steadyNow};
+    }
+
     core::Status listen()
     {
         auto server = rpc::ControlServer::start(m_settings.rpcListen, rpcHooks());
@@ -435,6 +463,13 @@
             countMessage(telemetry::ControlMessage::ReportReply, telemetry::Direction::Out, reply);
             respond(reply);
         };
+        hooks.lease = [this](const rpc::LeaseRequest &request, const rpc::Responder<rpc::LeaseReply> &respond) {
+            countMessage(telemetry::ControlMessage::LeaseRequest, telemetry::Direction::In, request);
+            m_leaseHandler.handle(request, [this, respond](const rpc::LeaseReply &reply) {
+                countMessage(telemetry::ControlMessage::LeaseReply, telemetry::Direction::Out, reply);
+                respond(reply);
+            });
+        };
         hooks.deliver = [this](const rpc::Envelope &envelope) {
             deliver(envelope);
         };
@@ -622,6 +657,7 @@
         metrics.set(telemetry::Metric::EntryHosts, {}, static_cast<double>(m_membershipFeed.hosts().size()));
         metrics.set(telemetry::Metric::PendingFollowCalls, {}, static_cast<double>(m_followHandler.pendingCallCount()));
         metrics.set(telemetry::Metric::StorageWorking, {}, m_replicator->status().isStorageFailed ? 0 : 1);
+        m_leaseHandler.updateMetrics(metrics);
         for (const auto &row : targets::ConditionNames) {
             metrics.set(telemetry::Metric::Targets,
                         {{"condition", std::string(row.name)}},
@@ -655,6 +691,7 @@
         m_membershipFeed.removeSilentHosts(now - EntryHostTimeout);
         m_targets.expire(now);
         m_targetStore->tick(now);
+        m_leaseHandler.tick();
         updateFollowers();
         requestMembership(now);
         confirmFollowCalls(now);
@@ -694,6 +731,7 @@
     core::WorkerPool m_pool;
     core::TimerService m_timers;
     FollowRpcHandler m_followHandler;
+    LeaseRpcHandler m_leaseHandler;
     std::unique_ptr<Replicator> m_replicator;
     std::unique_ptr<LeaderForwarder> m_leaderForwarder;
     std::unique_ptr<TargetStore> m_targetStore;
--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -77,6 +77,25 @@
     sendReports();
 }
 
+void ControlFeedClient::lease(const rpc::LeaseRequest &request,
+                              core::Duration timeout,
+                              const rpc::ReplyHook<rpc::LeaseReply> &hook)
+{
+    m_dependencies.onMessage(
+        telemetry::ControlMessage::LeaseRequest, telemetry::Direction::Out, request.ByteSizeLong());
+    leaseClient()->lease(
+        request, timeout, [self = shared_from_this(), hook](const core::Result<rpc::LeaseReply> &reply) {
+            if (core::ok(reply)) {
+                self->m_dependencies.onMessage(
+                    telemetry::ControlMessage::LeaseReply, telemetry::Direction::In, core::value(reply).ByteSizeLong());
+            }
+            self->recordLeaseReply(core::ok(reply));
+            self->m_dependencies.pool.post([reply, hook]() {
+                hook(reply);
+            });
+        });
+}
+
 void ControlFeedClient::poll()
 {
     if (m_stopped) {
@@ -437,4 +456,16 @@
     return m_controlHosts[m_followed].client;
 }
 
+std::shared_ptr<rpc::ControlClient> ControlFeedClient::leaseClient() const
+{
+    const core::Lock lock(m_mutex);
+    return m_controlHosts[(m_followed + m_leaseFailures) % m_controlHosts.size()].client;
+}
+
+void ControlFeedClient::recordLeaseReply(bool arrived)
+{
+    const core::Lock lock(m_mutex);
+    m_leaseFailures = arrived ? 0 : m_leaseFailures + 1;
+}
+
 } // namespace pimentoshed::entry
--- a/src/entry/controlfeedclient.h
+++ b/src/entry/controlfeedclient.h
@@ -59,6 +59,9 @@
     /** Sends this host's current record to the control host at once, beside the pending long poll. */
     void sendOwnRecord();
 
+    /** Passes a lease call to the control host, or to the next one after calls that failed. */
+    void lease(const rpc::LeaseRequest &request, core::Duration timeout, const rpc::ReplyHook<rpc::LeaseReply> &hook);
+
     /** Reports @p target's announcement to the control host; repeated until a report arrives. */
     void report(const targets::Target &target);
 
@@ -117,6 +120,8 @@
     bool applyConfiguration(const rpc::FollowReply &reply);
     void runAfter(core::Duration delay, void (ControlFeedClient::*step)());
     std::shared_ptr<rpc::ControlClient> client() const;
+    std::shared_ptr<rpc::ControlClient> leaseClient() const;
+    void recordLeaseReply(bool arrived);
 
     const Dependencies m_dependencies;
     std::atomic<bool> m_stopped{false};
@@ -136,6 +141,8 @@
     bool m_hasResponse = false;
     /** Number of consecutive failed calls. */
     std::size_t m_failures = 0;
+    /** Number of consecutive failed lease calls. */
+    std::size_t m_leaseFailures = 0;
     /** When each follow call that is not yet confirmed was sent, by its number. */
     std::map<std::uint64_t, core::TimePoint> m_callTimes;
     /** Number of the latest follow call. */
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -4,6 +4,7 @@
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "entry/controlfeedclient.h"
+#include "entry/quotaclient.h"
 #include "routing/coldtargetlimiter.h"
 #include "routing/requestpacer.h"
 #include "telemetry/exposition.h"
@@ -79,6 +80,7 @@
                                               },
                                               messageHook()},
               settings.controlAddresses))
+        , m_quotaClient(std::make_shared<QuotaClient>(settings.id, m_incarnation, m_timers, m_feedClient))
     {
     }
 
@@ -132,6 +134,7 @@
         m_stopped = true;
         m_periodicTimer.cancel();
         m_feedClient->stop();
+        m_quotaClient->stop();
         for (const auto &server : m_platformServers) {
             server->drain();
         }
@@ -251,6 +254,7 @@
             return;
         }
         const auto known = m_view.hosts();
+        m_quotaClient->setHosts(known);
         divideLimitedTargets(known, active);
         std::vector<membership::Member> hosts;
         for (const auto &host : known) {
@@ -322,6 +326,7 @@
         metrics.set(telemetry::Metric::RevisionAge, {}, core::toSeconds(m_revisionAge.age(now)));
         metrics.set(telemetry::Metric::ConfigurationCurrent, {}, core::ok(m_view.current(now)) ? 1 : 0);
         metrics.set(telemetry::Metric::EntryHosts, {}, static_cast<double>(m_view.hostCount()));
+        m_quotaClient->updateMetrics(metrics);
         const auto known = m_targets.all();
         for (const auto &row : targets::ConditionNames) {
             const auto count = std::count_if(known.begin(), known.end(), [&row](const targets::Target &target) {
@@ -407,6 +412,7 @@
     RequestScheduler m_scheduler;
     requests::RetryBudgets m_retryBudgets;
     std::shared_ptr<ControlFeedClient> m_feedClient;
+    std::shared_ptr<QuotaClient> m_quotaClient;
     std::shared_ptr<http::Server> m_callerServer;
     std::vector<std::shared_ptr<http::Server>> m_platformServers;
     core::TimerSubscription m_periodicTimer;
--- a/src/rpc/controlclient.cpp
+++ b/src/rpc/controlclient.cpp
@@ -49,4 +49,13 @@
         });
 }
 
+void ControlClient::lease(const LeaseRequest &request, core::Duration timeout, ReplyHook<LeaseReply> hook)
+{
+    auto call = detail::makeCall<LeaseRequest, LeaseReply>(request, timeout, std::move(hook));
+    m_impl->stub().async()->Lease(
+        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &status) {
+            call->finish(status);
+        });
+}
+
 } // namespace pimentoshed::rpc
--- a/src/rpc/controlclient.h
+++ b/src/rpc/controlclient.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * An entry host's calls to one control host.
+ * An entry host's calls to one control host, and those of another control host that it passes on.
  */
 #pragma once
 
@@ -26,6 +26,7 @@
 
     void follow(const FollowRequest &request, core::Duration timeout, ReplyHook<FollowReply> hook);
     void report(const ReportRequest &request, core::Duration timeout, ReplyHook<ReportReply> hook);
+    void lease(const LeaseRequest &request, core::Duration timeout, ReplyHook<LeaseReply> hook);
 
 private:
     class Impl;
--- a/src/rpc/controlserver.cpp
+++ b/src/rpc/controlserver.cpp
@@ -49,6 +49,15 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *Lease(grpc::CallbackServerContext *context,
+                                    const LeaseRequest *request,
+                                    LeaseReply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_hooks.lease(*request, makeResponder(reactor, reply));
+        return reactor;
+    }
+
 private:
     const ControlHooks &m_hooks;
 };
--- a/src/rpc/controlserver.h
+++ b/src/rpc/controlserver.h
@@ -23,6 +23,7 @@
 struct ControlHooks {
     std::function<void(const FollowRequest &, Responder<FollowReply>)> follow;
     std::function<void(const ReportRequest &, Responder<ReportReply>)> report;
+    std::function<void(const LeaseRequest &, Responder<LeaseReply>)> lease;
     std::function<void(const Envelope &)> deliver;
     std::function<MemberId()> identify;
     std::function<void(Responder<ConfirmReply>)> confirm;
--- a/src/rpc/peerclient.cpp
+++ b/src/rpc/peerclient.cpp
@@ -1,5 +1,6 @@
 #include "rpc/peerclient.h"
 
+#include "pimentoshed.grpc.pb.h"
 #include "replication.grpc.pb.h"
 
 #include <utility>
@@ -11,7 +12,9 @@
 {
 public:
     explicit Impl(const std::string &address)
-        : m_stub(Replication::NewStub(makeChannel(address)))
+        : m_channel(makeChannel(address))
+        , m_stub(Replication::NewStub(m_channel))
+        , m_controlStub(Control::NewStub(m_channel))
     {
     }
 
@@ -20,8 +23,15 @@
         return *m_stub;
     }
 
+    Control::Stub &controlStub()
+    {
+        return *m_controlStub;
+    }
+
 private:
+    const std::shared_ptr<grpc::Channel> m_channel;
     std::unique_ptr<Replication::Stub> m_stub;
+    std::unique_ptr<Control::Stub> m_controlStub;
 };
 
 PeerClient::PeerClient(const std::string &address)
@@ -81,4 +91,13 @@
         });
 }
 
+void PeerClient::lease(const LeaseRequest &request, core::Duration timeout, ReplyHook<LeaseReply> hook)
+{
+    auto call = detail::makeCall<LeaseRequest, LeaseReply>(request, timeout, std::move(hook));
+    m_impl->controlStub().async()->Lease(
+        &call->context, &call->request, &call->reply, [call, impl = m_impl](const grpc::Status &status) {
+            call->finish(status);
+        });
+}
+
 } // namespace pimentoshed::rpc
--- a/src/rpc/peerclient.h
+++ b/src/rpc/peerclient.h
@@ -30,6 +30,8 @@
     void confirm(core::Duration timeout, ReplyHook<ConfirmReply> hook);
     void join(const JoinRequest &request, core::Duration timeout, ReplyHook<JoinReply> hook);
     void submit(const SubmitRequest &request, core::Duration timeout, ReplyHook<SubmitReply> hook);
+    /** Passes on a call of an entry host. */
+    void lease(const LeaseRequest &request, core::Duration timeout, ReplyHook<LeaseReply> hook);
 
 private:
     class Impl;
