Refuse requests that are over the quota of their workspace

Requests of a workspace were sent on whatever its limit. entry::RequestQuota takes a token once a request has arrived whole, and another one before it is sent if it has waited beyond the end of the first. Over the quota it gets 429 (E4016) with the time at which the bucket has room; where nobody can say, 503 (E4017).

--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -49,6 +49,8 @@
     ErrorRow{ErrorCode::CallerTooSlow, "caller-too-slow", "the caller sent or read too slowly"},
     ErrorRow{ErrorCode::KeyUnknown, "key-unknown", "the request carries no key of a workspace"},
     ErrorRow{ErrorCode::OverQuota, "over-quota", "the request is over the quota of its workspace"},
+    ErrorRow{
+        ErrorCode::QuotaUnknown, "quota-unknown", "no control host can say whether the request is within its quota"},
     ErrorRow{ErrorCode::AnnouncementMalformed, "announcement-malformed", "a target's announcement can't be decoded"},
     ErrorRow{
         ErrorCode::AnnouncementStale, "announcement-stale", "a newer announcement of this target was already received"},
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -51,6 +51,7 @@
     CallerTooSlow = 4014,
     KeyUnknown = 4015,
     OverQuota = 4016,
+    QuotaUnknown = 4017,
     AnnouncementMalformed = 5001,
     AnnouncementStale = 5002,
     JournalDamaged = 6001,
--- a/src/entry/activerequest.h
+++ b/src/entry/activerequest.h
@@ -7,6 +7,7 @@
 #include "core/ids.h"
 #include "entry/clusterview.h"
 #include "http/exchange.h"
+#include "quotas/decision.h"
 #include "requests/outcome.h"
 #include "requests/requestsinprogress.h"
 #include "requests/retrypolicy.h"
@@ -16,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace pimentoshed::entry
@@ -23,6 +25,12 @@
 
 using ConfigurationRef = std::shared_ptr<const EntryConfiguration>;
 
+/** The right to send a request of a workspace. */
+struct QuotaToken {
+    std::shared_ptr<const configuration::Workspace> workspace;
+    quotas::Token token;
+};
+
 /** A request in progress. Belongs to the coroutine of its exchange. */
 struct ActiveRequest {
     http::Exchange &exchange;
@@ -49,6 +57,10 @@
     /** Number of attempts that sent the complete head of the request. */
     unsigned attemptsSent = 0;
     requests::RequestOutcome outcome{};
+    /** None if the request's workspace is not limited, and before it is known to be within its quota. */
+    std::optional<QuotaToken> quotaToken{};
+    /** When the caller may return, if the quota of its workspace says so. */
+    std::optional<core::Duration> retryAfter{};
 };
 
 /** The attempts of @p request so far, as input to the decision whether to make another one at @p now. */
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -61,10 +61,12 @@
 
 Attempts::Attempts(const CallerHandlerDependencies &dependencies,
                    const TargetAssignment &assignment,
+                   const RequestQuota &quota,
                    const Refusals &refusals,
                    const RequestLog &log)
     : m_dependencies(dependencies)
     , m_assignment(assignment)
+    , m_quota(quota)
     , m_refusals(refusals)
     , m_log(log)
 {
@@ -83,6 +85,12 @@
             return;
         }
         auto &target = core::value(assigned);
+        // The request may have waited beyond the end of its token.
+        if (const auto quota = m_quota.take(request); !core::ok(quota)) {
+            release(request, target);
+            endWithoutTarget(request, core::error(quota), completed);
+            return;
+        }
         const auto result = attempt(request, target);
         completed.targetWait = result.headWaitTime;
         if (!result.outcome.failure) {
@@ -113,7 +121,17 @@
         request.outcome = {RunState::NotRun, error};
     }
     m_log.logRefusal(request);
-    m_refusals.refuse(request.exchange, request.outcome, &request.service->name);
+    m_refusals.refuse(request.exchange, request.outcome, &request.service->name, request.retryAfter);
+}
+
+void Attempts::release(const ActiveRequest &request, AssignedTarget &assigned) const
+{
+    const auto now = m_dependencies.timers.now();
+    if (assigned.connection) {
+        m_dependencies.connections.give(assigned.assignment.target->address, std::move(assigned.connection), now);
+    }
+    m_dependencies.router.release(assigned.assignment, {routing::AttemptOutcome::Cancelled, {}, {}}, now);
+    m_dependencies.scheduler.notifyCapacity(request.service->name);
 }
 
 http::RelayResult Attempts::attempt(ActiveRequest &request, AssignedTarget &assigned) const
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -6,6 +6,7 @@
 
 #include "entry/refusals.h"
 #include "entry/requestlog.h"
+#include "entry/requestquota.h"
 #include "entry/targetassignment.h"
 
 namespace pimentoshed::entry
@@ -17,6 +18,7 @@
 public:
     Attempts(const CallerHandlerDependencies &dependencies,
              const TargetAssignment &assignment,
+             const RequestQuota &quota,
              const Refusals &refusals,
              const RequestLog &log);
 
@@ -28,6 +30,8 @@
     void endWithoutTarget(ActiveRequest &request,
                           const core::Error &error,
                           telemetry::CompletedRequest &completed) const;
+    /** Frees a target that was assigned to a request that is not sent. */
+    void release(const ActiveRequest &request, AssignedTarget &assigned) const;
     http::RelayResult attempt(ActiveRequest &request, AssignedTarget &assigned) const;
     http::RelayOptions relayOptions(const ActiveRequest &request, const targets::Target &target) const;
     bool mayRetry(const ActiveRequest &request, const http::RelayResult &result) const;
@@ -35,6 +39,7 @@
 
     const CallerHandlerDependencies &m_dependencies;
     const TargetAssignment &m_assignment;
+    const RequestQuota &m_quota;
     const Refusals &m_refusals;
     const RequestLog &m_log;
 };
--- a/src/entry/callerhandlerdependencies.h
+++ b/src/entry/callerhandlerdependencies.h
@@ -9,6 +9,7 @@
 #include "entry/requestscheduler.h"
 #include "http/connectionpool.h"
 #include "http/protocolhooks.h"
+#include "quotas/decision.h"
 #include "requests/requestsinprogress.h"
 #include "requests/retrypolicy.h"
 #include "requests/stoprule.h"
@@ -59,6 +60,9 @@
     std::function<void(const core::RouteName &)> onKeyRefused;
     /** The stop of this host; nothing unless it is stopping. */
     std::function<std::optional<requests::HostStop>()> hostStop;
+    /** Called only for requests of limited workspaces. */
+    quotas::SpendHook spendQuota;
+    quotas::GiveBackHook giveBackQuota;
     http::ProtocolHooks protocolHooks;
     CallerHandlerOptions options;
 };
--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -6,12 +6,14 @@
 #include "entry/requestadmission.h"
 #include "entry/requestidentification.h"
 #include "entry/requestlog.h"
+#include "entry/requestquota.h"
 #include "entry/targetassignment.h"
 #include "entry/targetprober.h"
 #include "http/jsonreply.h"
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -102,14 +104,24 @@
             refuse(exchange, core::error(body), completed);
             return completed;
         }
+        if (const auto quota = m_quota.take(request); !core::ok(quota)) {
+            refuse(exchange, core::error(quota), completed, request.retryAfter);
+            return completed;
+        }
         m_attempts.run(request, completed);
+        if (completed.failure && (request.attemptsSent == 0 || request.outcome.run == RunState::NotRun)) {
+            m_quota.giveBack(request);
+        }
         return completed;
     }
 
-    void refuse(http::Exchange &exchange, const core::Error &error, telemetry::CompletedRequest &completed) const
+    void refuse(http::Exchange &exchange,
+                const core::Error &error,
+                telemetry::CompletedRequest &completed,
+                std::optional<core::Duration> retryAfter = {}) const
     {
         completed.failure = error.code;
-        m_refusals.refuse(exchange, {RunState::NotRun, error});
+        m_refusals.refuse(exchange, {RunState::NotRun, error}, nullptr, retryAfter);
     }
 
     const CallerHandlerDependencies m_dependencies;
@@ -118,9 +130,10 @@
     const RequestAdmission m_admission{m_dependencies};
     const TargetProber m_prober{m_dependencies};
     const TargetAssignment m_assignment{m_dependencies, m_follower, m_prober};
+    const RequestQuota m_quota{m_dependencies.timers, m_dependencies.spendQuota, m_dependencies.giveBackQuota};
     const Refusals m_refusals{m_dependencies};
     const RequestLog m_log{m_dependencies};
-    const Attempts m_attempts{m_dependencies, m_assignment, m_refusals, m_log};
+    const Attempts m_attempts{m_dependencies, m_assignment, m_quota, m_refusals, m_log};
 };
 
 } // namespace
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -194,6 +194,8 @@
                                                            [this]() {
                                                                return m_stopping ? std::optional(m_stop) : std::nullopt;
                                                            },
+                                                           spendQuotaHook(),
+                                                           giveBackQuotaHook(),
                                                            m_settings.marking,
                                                            m_settings.callerOptions}))
                            .start();
@@ -229,6 +231,20 @@
         return std::monostate{};
     }
 
+    quotas::SpendHook spendQuotaHook()
+    {
+        return [this](const auto &workspace, core::TimePoint latest, const auto &callback) {
+            m_quotaClient->spend(workspace, latest, callback);
+        };
+    }
+
+    quotas::GiveBackHook giveBackQuotaHook()
+    {
+        return [this](const auto &workspace, const quotas::Token &token) {
+            m_quotaClient->giveBack(workspace, token);
+        };
+    }
+
     routing::RouterHooks routerHooks()
     {
         routing::RouterHooks hooks;
--- a/src/entry/refusals.cpp
+++ b/src/entry/refusals.cpp
@@ -15,7 +15,8 @@
 
 void Refusals::refuse(http::Exchange &exchange,
                       requests::RequestOutcome outcome,
-                      const core::ServiceName *service) const
+                      const core::ServiceName *service,
+                      std::optional<core::Duration> retryAfter) const
 {
     if (outcome.run == requests::RunState::Ran) {
         outcome.run = requests::RunState::Unknown;
@@ -26,7 +27,9 @@
         refused = {.usualProcessingTime = m_dependencies.router.usualProcessingTime(*service),
                    .pause = m_dependencies.router.pausedUntil(*service, now).value_or(now) - now};
     }
-    const auto retryAfter = requests::retryAfter(outcome, refused, m_dependencies.random);
+    if (!retryAfter) {
+        retryAfter = requests::retryAfter(outcome, refused, m_dependencies.random);
+    }
     exchange.send(m_dependencies.protocolHooks.makeRefusal({std::move(outcome), retryAfter}));
 }
 
--- a/src/entry/refusals.h
+++ b/src/entry/refusals.h
@@ -8,6 +8,8 @@
 #include "http/exchange.h"
 #include "requests/outcome.h"
 
+#include <optional>
+
 namespace pimentoshed::entry
 {
 
@@ -19,11 +21,13 @@
 
     /**
      * Sends a refusal of a request to @p service, if it is known. Ran is sent as Unknown: it means that a target sent a
-     * complete response, which this caller did not get, and a refusal can't say so.
+     * complete response, which this caller did not get, and a refusal can't say so. @p retryAfter is when the caller
+     * may return, if that doesn't follow from the outcome and the service.
      */
     void refuse(http::Exchange &exchange,
                 requests::RequestOutcome outcome,
-                const core::ServiceName *service = nullptr) const;
+                const core::ServiceName *service = nullptr,
+                std::optional<core::Duration> retryAfter = {}) const;
 
 private:
     const CallerHandlerDependencies &m_dependencies;
--- a/src/http/protocolhooks.cpp
+++ b/src/http/protocolhooks.cpp
@@ -69,6 +69,8 @@
         return status::payload_too_large;
     case ErrorCode::CallerTooSlow:
         return status::request_timeout;
+    case ErrorCode::OverQuota:
+        return status::too_many_requests;
     case ErrorCode::DeadlinePassed:
         return status::gateway_timeout;
     case ErrorCode::TargetFailed:
@@ -87,6 +89,10 @@
     if (reply.status == status::unauthorized) {
         reply.headers.emplace_back("WWW-Authenticate", KeyHeader);
     }
+    if (reply.status == status::too_many_requests && details.retryAfter) {
+        reply.headers.emplace_back(
+            "Retry-After", fmt::format("{}", std::chrono::ceil<std::chrono::seconds>(*details.retryAfter).count()));
+    }
     reply.headers.emplace_back(RunHeader, core::nameOf(requests::RunStateNames, details.outcome.run));
     return reply;
 }
