--- a/src/quotas/leaseholder.cpp
+++ b/src/quotas/leaseholder.cpp
@@ -25,8 +25,8 @@
  * host can use up has some requests again, and a bucket is far from full.
  */
 constexpr core::Duration DenialTime = std::chrono::milliseconds(250);
-/** Time between two asks in advance for one workspace. */
-constexpr core::Duration AheadPause = std::chrono::milliseconds(100);
+/** Time between two asks in advance for one workspace: less than what one of them covers. */
+constexpr core::Duration AheadPause = std::chrono::milliseconds(200);
 /** Pause after a call without an answer of the leader. */
 constexpr core::Duration RetryPause = std::chrono::milliseconds(25);
 /** The same while the control hosts can't be reached. */
