--- a/src/quotas/leaseholder.h
+++ b/src/quotas/leaseholder.h
@@ -48,8 +48,8 @@
         std::function<void(const core::WorkspaceName &, core::Duration retryAfter)> onOverQuota;
     };
 
-    /** Most of a round trip between a host with little processor time and the leader. */
-    static constexpr core::Duration CallTimeout = std::chrono::milliseconds(150);
+    /** A host with a tenth of a processor may not run for 100 ms; later answers bring leases that have nearly ended. */
+    static constexpr core::Duration CallTimeout = std::chrono::milliseconds(200);
 
     explicit LeaseHolder(Dependencies dependencies);
 
