Wait for a current configuration also when a request shows several keys or none

A host that is not current may hold an older configuration in which a route needs a key that it doesn't need any more. Its refusal is NotCurrent then, for each reason alike. Also includes the header that a test of quotas needs.

--- a/src/workspaces/caller.cpp
+++ b/src/workspaces/caller.cpp
@@ -50,8 +50,8 @@
     if (caller.workspace != nullptr || !needsKey(configuration, route)) {
         return caller;
     }
-    if (key.presence == KeyPresence::Single && !isCurrent) {
-        return core::Error{core::ErrorCode::NotCurrent, "the key may have been added"};
+    if (!isCurrent) {
+        return core::Error{core::ErrorCode::NotCurrent, "a newer configuration may allow the request"};
     }
     switch (key.presence) {
     case KeyPresence::Missing:
--- a/tests/entry/requestquota.cpp
+++ b/tests/entry/requestquota.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <mutex>
+#include <nlohmann/json.hpp>
 
 using namespace pimentoshed;
 using namespace std::chrono_literals;
