Keep requests off full targets that never answer

Some targets never answer a request that they can't queue, nor any later one on that connection: callers wait to their deadline. A silent attempt is now recognised after twice the 95th percentile of the service's latency, if the target may have been full. An idempotent request then goes elsewhere, if the retry budget grants it; any other is waited for to its end, and the connection is closed.

--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -23,6 +23,9 @@
         && result.outcome.failure->code == ErrorCode::TargetFailed) {
         return routing::AttemptOutcome::Unreachable;
     }
+    if (result.isSilent) {
+        return routing::AttemptOutcome::Silent;
+    }
     if (result.serverError) {
         return routing::AttemptOutcome::Failed;
     }
@@ -93,6 +96,7 @@
         }
         const auto result = attempt(request, target);
         completed.targetWait = result.headWaitTime;
+        completed.silentAttempts += result.isSilent ? 1 : 0;
         if (!result.outcome.failure) {
             completed.failure.reset();
             m_log.logIfLate(request, target.assignment, result);
@@ -137,7 +141,12 @@
 http::RelayResult Attempts::attempt(ActiveRequest &request, AssignedTarget &assigned) const
 {
     const auto &target = *assigned.assignment.target;
-    const auto options = relayOptions(request, target);
+    auto options = relayOptions(request, target);
+    request.isRetryGranted = false;
+    options.silenceLimit = assigned.assignment.silenceLimit;
+    options.onSilence = [this, &request]() {
+        return grantRetry(request);
+    };
     const auto started = m_dependencies.timers.now();
     request.row->sendTo(target.id, request.service->name, started);
     auto result =
@@ -173,12 +182,27 @@
     return options;
 }
 
+bool Attempts::grantRetry(ActiveRequest &request) const
+{
+    if (!request.exchange.body().canRewind() || request.triedTargets.size() + 1 >= MaxTriedTargets) {
+        return false;
+    }
+    auto failed = latestAttempt(request, m_dependencies.timers.now());
+    failed.runState = RunState::Unknown;
+    ++failed.attempts;
+    request.isRetryGranted = m_dependencies.mayRetry(failed);
+    return request.isRetryGranted;
+}
+
 bool Attempts::mayRetry(const ActiveRequest &request, const http::RelayResult &result) const
 {
     if (!canResend(result) || request.triedTargets.size() >= MaxTriedTargets) {
         return false;
     }
     const auto failed = latestAttempt(request, m_dependencies.timers.now());
+    if (request.isRetryGranted) {
+        return requests::canRetry(failed);
+    }
     // If no target has received the request, another attempt isn't a retry for them: no retry budget is used.
     return request.attemptsSent == 0 ? requests::canRetry(failed) : m_dependencies.mayRetry(failed);
 }
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -34,6 +34,11 @@
     void release(const ActiveRequest &request, AssignedTarget &assigned) const;
     http::RelayResult attempt(ActiveRequest &request, AssignedTarget &assigned) const;
     http::RelayOptions relayOptions(const ActiveRequest &request, const targets::Target &target) const;
+    /**
+     * Whether an attempt at a silent target should be given up for another one: the request may run again, and the
+     * retry budget allows it. If so, mayRetry() takes no further retry from the budget.
+     */
+    bool grantRetry(ActiveRequest &request) const;
     bool mayRetry(const ActiveRequest &request, const http::RelayResult &result) const;
     void refuseOrClose(const ActiveRequest &request, const http::RelayResult &result) const;
 
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -13,6 +13,7 @@
 #include "requests/outcome.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -38,6 +39,10 @@
     core::TargetId target;
     /** The caller's workspace, empty if it has none. Unset in a configuration without workspaces. */
     std::optional<core::WorkspaceName> workspace;
+    /** If set, onSilence is asked once when no byte of a response has come this long after the request was sent. */
+    std::optional<core::Duration> silenceLimit{};
+    /** Returns whether to give the attempt up, and its connection. */
+    std::function<bool()> onSilence{};
     /** Must outlive the attempt. If null, defaultProtocolHooks() are used. */
     const ProtocolHooks *protocolHooks = nullptr;
     MinimumRate minimumRate;
@@ -57,6 +62,8 @@
     std::optional<routing::TargetSignals> signals;
     /** Whether the response has a 5xx status, unless that means that the request was not run. */
     bool serverError = false;
+    /** Whether the attempt was given up, or its deadline passed, before any byte of a response came. */
+    bool isSilent = false;
     /** Time spent waiting for the head of the response after the request's head was sent. */
     core::Duration headWaitTime{};
 };
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -60,6 +60,10 @@
                  [this]() {
                      abort(ErrorCode::DeadlinePassed, {});
                  })
+    , m_silenceWatchdog(m_caller.get_executor(),
+                        [this]() {
+                            endSilence();
+                        })
     , m_readWatchdog(m_caller.get_executor(),
                      [this]() {
                          abort(ErrorCode::CallerTooSlow, "the caller sent its request too slowly");
@@ -91,6 +95,7 @@
         stopUpload();
     }
     unwatchCaller();
+    m_silenceWatchdog.disarm();
     m_deadline.disarm();
     return makeResult();
 }
@@ -282,6 +287,9 @@
 bool RelayAttempt::readAnswerHead()
 {
     constexpr unsigned MaxSkippedHeads = 16;
+    if (m_options.silenceLimit && m_options.onSilence) {
+        m_silenceWatchdog.arm(*m_options.silenceLimit);
+    }
     for (unsigned skippedHeads = 0; skippedHeads <= MaxSkippedHeads; ++skippedHeads) {
         if (!readOneHead()) {
             return false;
@@ -379,6 +387,22 @@
     return true;
 }
 
+bool RelayAttempt::hasSign() const
+{
+    return m_stage > AttemptStage::HeadSent || (m_answerParser && m_answerParser->got_some())
+           || m_connection->buffer.size() > 0;
+}
+
+void RelayAttempt::endSilence()
+{
+    if (!m_failure && !hasSign() && m_options.onSilence()) {
+        abort(ErrorCode::TargetFailed,
+              fmt::format("no sign of the target {} ms after the request was sent",
+                          std::chrono::duration_cast<std::chrono::milliseconds>(*m_options.silenceLimit).count()));
+        m_isGivenUp = true;
+    }
+}
+
 bool RelayAttempt::isFinalHead()
 {
     constexpr unsigned FirstFinalStatus = 200;
@@ -517,6 +541,8 @@
     result.outcome = {requests::provenRunState(m_stage, shedProvesNotRun), m_failure};
     result.signals = m_classification.signals;
     result.serverError = m_serverError;
+    const bool hasDeadlinePassed = m_failure && m_failure->code == ErrorCode::DeadlinePassed;
+    result.isSilent = m_isGivenUp || (hasDeadlinePassed && m_stage == AttemptStage::HeadSent && !hasSign());
     result.sentToCaller = m_sentToCaller;
     result.bodyConsumed = !m_exchange.body().canRewind();
     result.callerLeft = m_callerLeft;
--- a/src/http/relayattempt.h
+++ b/src/http/relayattempt.h
@@ -65,6 +65,9 @@
     bool readAnswerHead();
     bool readOneHead();
     bool isFinalHead();
+    /** Gives the attempt up if the caller of relay() agrees, unless the target has given a sign. */
+    void endSilence();
+    bool hasSign() const;
     /**
      * Whether the response whose head was read belongs to this request. Skips a stray response, and ends the attempt on
      * any other response that the caller must not get.
@@ -96,6 +99,8 @@
     Yield &m_yield;
     /** Aborts the attempt when its deadline passes. */
     Watchdog m_deadline;
+    /** Asks whether to give the attempt up when the target gives no sign. */
+    Watchdog m_silenceWatchdog;
     /** Aborts the attempt when the caller sends its request too slowly. */
     Watchdog m_readWatchdog;
     /** Aborts the attempt when the caller reads its response too slowly. */
@@ -116,6 +121,7 @@
     bool m_stale = false;
     bool m_canReuse = false;
     bool m_serverError = false;
+    bool m_isGivenUp = false;
 };
 
 } // namespace pimentoshed::http
--- a/src/routing/assignoptions.h
+++ b/src/routing/assignoptions.h
@@ -71,6 +71,11 @@
     std::uint64_t attempt = 0;
     /** How much slower than usual the target was estimated to be, by its load report. */
     double slowness = 1;
+    /**
+     * Set if the target may be full and its service's targets may then never answer: after this time without a sign, an
+     * idempotent request should go elsewhere.
+     */
+    std::optional<core::Duration> silenceLimit{};
 };
 
 /** Routing state of one target, for dumps and tests. */
@@ -83,6 +88,8 @@
     bool isAssumedCold = false;
     /** Requests per second that the target takes from all hosts together, if it names a limit. */
     std::optional<double> requestLimit;
+    /** Whether the target gave no sign to a request and has not reported free slots since. */
+    bool isAssumedFull = false;
 };
 
 } // namespace pimentoshed::routing
--- a/src/routing/attemptend.h
+++ b/src/routing/attemptend.h
@@ -20,6 +20,8 @@
     Answered,
     Failed,
     Shed,
+    /** The target took the request and gave no sign until this host or the deadline ended the attempt. */
+    Silent,
     /** No connection could be made. */
     Unreachable,
     /** Ended by this host or the caller: no evidence about the target. */
@@ -30,6 +32,7 @@
     core::EnumName<AttemptOutcome>{AttemptOutcome::Answered, "answered"},
     core::EnumName<AttemptOutcome>{AttemptOutcome::Failed, "failed"},
     core::EnumName<AttemptOutcome>{AttemptOutcome::Shed, "shed"},
+    core::EnumName<AttemptOutcome>{AttemptOutcome::Silent, "silent"},
     core::EnumName<AttemptOutcome>{AttemptOutcome::Unreachable, "unreachable"},
     core::EnumName<AttemptOutcome>{AttemptOutcome::Cancelled, "cancelled"},
 };
--- a/src/routing/candidateselection.cpp
+++ b/src/routing/candidateselection.cpp
@@ -42,6 +42,13 @@
            && target.estimatedLoad(now) < MaxIdleUsage * target.slots(context.service);
 }
 
+/** The requests that the target is expected to have: by its report if that is recent, else as targets usually have. */
+double expectedLoad(const TargetState &target, core::TimePoint now, const ServiceContext &context)
+{
+    const auto byReport = target.report(now) == nullptr ? std::nullopt : target.highestLoad(now, context);
+    return byReport.value_or(target.inFlight() + context.full.usualLoadByOthers());
+}
+
 bool hasReachableLocal(std::span<const TargetState> targets, const AssignOptions &options, core::TimePoint now)
 {
     return std::any_of(targets.begin(), targets.end(), [&](const TargetState &target) {
@@ -69,6 +76,10 @@
     if (const auto *report = target.report(now); report != nullptr && !report->healthy) {
         found.onTimeProbability *= UnhealthyFactor;
     }
+    if (context.full.behaviour(now) == FullBehaviour::Hangs) {
+        const double places = target.slots(context.service) + context.full.queuePlaces();
+        found.sendProbability = context.full.sendProbability(places - expectedLoad(target, now, context));
+    }
     return found;
 }
 
@@ -91,6 +102,27 @@
            && (!options.idleOnly || isIdle(target, now, context));
 }
 
+bool isKnownToHaveRoom(const TargetState &target,
+                       const AssignOptions &options,
+                       core::TimePoint now,
+                       const ServiceContext &context)
+{
+    if (target.isAssumedFull(now)) {
+        return false;
+    }
+    // A host that doesn't probe gets reports only with responses, so it sends also without a recent one.
+    if (context.full.behaviour(now) != FullBehaviour::Hangs || !options.probationNeedsReport) {
+        return true;
+    }
+    const double slots = target.slots(context.service);
+    const double load = expectedLoad(target, now, context);
+    if (const auto *report = target.report(now)) {
+        return report->waiting == 0 && load < slots;
+    }
+    // Without a recent report, half of the places are left to what can't be known.
+    return load < (slots + context.full.queuePlaces()) / 2;
+}
+
 CandidateSelection::CandidateSelection()
 {
     m_candidates.reserve(MaxCandidates);
@@ -99,6 +131,7 @@
 
 void CandidateSelection::collect(std::span<TargetState> targets,
                                  Ejections &ejections,
+                                 SelectionPurpose purpose,
                                  const AssignOptions &options,
                                  core::TimePoint now,
                                  const ServiceContext &context)
@@ -123,6 +156,9 @@
                 || (localOnly && !target.isLocal()) || (!isProbed && !target.isProbeAllowed(now))) {
                 continue;
             }
+            if (purpose == SelectionPurpose::Request && !isKnownToHaveRoom(target, options, now, context)) {
+                continue;
+            }
             const auto found = makeCandidate(target, maxInFlight, options, now, context);
             if (isAssignable(target, found, options, now, context)) {
                 m_candidates.push_back(found);
@@ -135,19 +171,16 @@
     }
 }
 
-std::optional<std::size_t> CandidateSelection::take(const RouterHooks &hooks)
+std::optional<CandidateSelection::Choice> CandidateSelection::take(const RouterHooks &hooks)
 {
-    if (m_candidates.empty()) {
-        return std::nullopt;
-    }
-    const auto choice = hooks.picker(m_candidates, hooks.random);
+    const auto choice = m_candidates.empty() ? std::nullopt : hooks.picker(m_candidates, hooks.random);
     if (!choice) {
         return std::nullopt;
     }
-    const auto position = m_positions[*choice];
+    const Choice taken{m_positions[*choice], m_candidates[*choice].sendProbability};
     m_candidates.erase(m_candidates.begin() + static_cast<std::ptrdiff_t>(*choice));
     m_positions.erase(m_positions.begin() + static_cast<std::ptrdiff_t>(*choice));
-    return position;
+    return taken;
 }
 
 } // namespace pimentoshed::routing
--- a/src/routing/candidateselection.h
+++ b/src/routing/candidateselection.h
@@ -15,6 +15,14 @@
 namespace pimentoshed::routing
 {
 
+/** What the selected target is for. */
+enum class SelectionPurpose : std::uint8_t {
+    /** A load probe. */
+    Probe,
+    /** A request. */
+    Request,
+};
+
 /** Returns what a picker needs to know about @p target. */
 Candidate makeCandidate(const TargetState &target,
                         unsigned maxInFlight,
@@ -32,6 +40,16 @@
                   core::TimePoint now,
                   const ServiceContext &context);
 
+/**
+ * Whether a request may be sent to the target: it does not count as full, and if full targets of its service hang, it
+ * has reported a free slot, so lately that other hosts can't have taken it since. Without a recent report, the target
+ * may get a request while targets usually have at most half of their slots and queue taken.
+ */
+bool isKnownToHaveRoom(const TargetState &target,
+                       const AssignOptions &options,
+                       core::TimePoint now,
+                       const ServiceContext &context);
+
 /** The candidates for one request. Kept between requests so that a selection allocates no memory. Not thread-safe. */
 class CandidateSelection
 {
@@ -43,12 +61,20 @@
      */
     void collect(std::span<TargetState> targets,
                  Ejections &ejections,
+                 SelectionPurpose purpose,
                  const AssignOptions &options,
                  core::TimePoint now,
                  const ServiceContext &context);
 
-    /** Returns the position among the targets of the one that the picker chooses, and takes it out. */
-    std::optional<std::size_t> take(const RouterHooks &hooks);
+    /** The choice of the picker. */
+    struct Choice {
+        /** Position among the targets. */
+        std::size_t position = 0;
+        /** Probability, from 0 to 1, with which a request should be sent there. */
+        double sendProbability = 1;
+    };
+    /** Returns the picker's choice, and takes it out. */
+    std::optional<Choice> take(const RouterHooks &hooks);
 
 private:
     std::vector<Candidate> m_candidates;
--- a/src/routing/ejections.cpp
+++ b/src/routing/ejections.cpp
@@ -36,8 +36,9 @@
 void Ejections::detectLate(TargetState &target, core::TimePoint now, const ServiceContext &context)
 {
     const auto &latency = context.times.latency();
-    if (!context.hooks.ejectsOutliers || target.outlierState().isOutlier() || target.inFlight() == 0
-        || !latency.known()) {
+    if (!context.hooks.ejectsOutliers || target.outlierState().isOutlier() || target.inFlight() == 0 || !latency.known()
+        || target.oldestAttempt().silenceLimit) {
+        // An attempt that may wait at a full target tells nothing about the target's speed.
         return;
     }
     const auto &oldest = target.oldestAttempt();
--- a/src/routing/picker.h
+++ b/src/routing/picker.h
@@ -33,6 +33,8 @@
     core::Duration predictedTime{};
     /** Estimated probability, from 0 to 1, that the request ends within its objective. */
     double onTimeProbability = 1;
+    /** Probability, from 0 to 1, with which this host takes the target once it is chosen. Pickers ignore it. */
+    double sendProbability = 1;
 };
 
 /** Returns the position of the chosen candidate, or nullopt if none should be used. */
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -69,13 +69,15 @@
         m_ejections.countProbation();
         return m_targets[*position].startAttempt(m_nextAttempt++, now, true, context());
     }
-    m_selection.collect(m_targets, m_ejections, options, now, context());
-    const auto position = m_selection.take(m_hooks);
-    if (!position) {
-        return core::Error{core::ErrorCode::NoTarget, m_service.name.str()};
+    m_selection.collect(m_targets, m_ejections, SelectionPurpose::Request, options, now, context());
+    while (const auto choice = m_selection.take(m_hooks)) {
+        // Hosts that found the same free slot at the same time must not all send there.
+        if (choice->sendProbability >= 1 || core::randomFraction(m_hooks.random) < choice->sendProbability) {
+            auto &target = m_targets[choice->position];
+            return target.startAttempt(m_nextAttempt++, now, target.outlierState().isProbationDue(now), context());
+        }
     }
-    auto &target = m_targets[*position];
-    return target.startAttempt(m_nextAttempt++, now, target.outlierState().isProbationDue(now), context());
+    return core::Error{core::ErrorCode::NoTarget, m_service.name.str()};
 }
 
 std::vector<std::shared_ptr<const targets::Target>> ServiceRouter::shortlist(core::TimePoint now,
@@ -92,13 +94,15 @@
             ++count;
         }
     }
-    m_selection.collect(m_targets, m_ejections, options, now, context());
+    // Targets named by the caller have been probed, so it asks whether one of them can take a request.
+    const auto purpose = options.allowedTargets.empty() ? SelectionPurpose::Probe : SelectionPurpose::Request;
+    m_selection.collect(m_targets, m_ejections, purpose, options, now, context());
     while (found.size() < count) {
-        const auto position = m_selection.take(m_hooks);
-        if (!position) {
+        const auto choice = m_selection.take(m_hooks);
+        if (!choice) {
             break;
         }
-        found.push_back(m_targets[*position].target());
+        found.push_back(m_targets[choice->position].target());
     }
     return found;
 }
@@ -152,6 +156,7 @@
 {
     if (signals.load) {
         m_times.addSlowness(signals.load->slowness);
+        m_full.recordReport(*signals.load, target.inFlight());
     }
     if (target.recordSignals(signals, sent, now, m_hooks)) {
         m_ejections.recount(m_targets);
@@ -186,7 +191,9 @@
     if (end.outcome == AttemptOutcome::Unreachable) {
         target.backOff(now);
     }
-    if (end.outcome == AttemptOutcome::Cancelled) {
+    const bool isSilent = end.outcome == AttemptOutcome::Silent && attempt.silenceLimit
+                          && end.latency >= *attempt.silenceLimit && recordSilence(target, attempt, now);
+    if (end.outcome == AttemptOutcome::Cancelled || isSilent) {
         if (attempt.isProbation) {
             target.outlierState().cancelProbation();
         }
@@ -195,11 +202,22 @@
     // The threshold that decides whether the attempt was late is the one before its own sample.
     const auto before = m_times.latency().lateThreshold();
     if (end.outcome == AttemptOutcome::Answered) {
+        target.recordAnswer();
         m_times.addAnswered({end.latency, attempt.slowness, attempt.hadFreeSlot, target.isLocal()});
     }
     m_ejections.recordEnd(target, attempt, end, before, now, context());
 }
 
+bool ServiceRouter::recordSilence(TargetState &target, const InFlightAttempt &attempt, core::TimePoint now)
+{
+    // What was queued at the target when the attempt began has ended after this time, or is silent too.
+    const bool isFull = target.recordSilence(attempt, now, *attempt.silenceLimit);
+    if (isFull) {
+        m_full.recordSilence(target.target()->id, now);
+    }
+    return isFull;
+}
+
 std::optional<core::TimePoint> ServiceRouter::pausedUntil(core::TimePoint now) const
 {
     std::optional<core::TimePoint> earliest;
@@ -279,7 +297,8 @@
         return false;
     }
     const auto candidate = makeCandidate(target, target.limit(now, context()), options, now, context());
-    return isAssignable(target, candidate, options, now, context());
+    return isKnownToHaveRoom(target, options, now, context())
+           && isAssignable(target, candidate, options, now, context());
 }
 
 void ServiceRouter::erase(const core::TargetId &id)
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -94,13 +94,15 @@
 private:
     ServiceContext context() const
     {
-        return {m_service, m_hooks, m_times};
+        return {m_service, m_hooks, m_times, m_full};
     }
     /** Returns the state of a target, or null if it is unknown. */
     TargetState *find(const core::TargetId &id);
     const TargetState *find(const core::TargetId &id) const;
     void recordSignals(TargetState &target, const TargetSignals &signals, core::TimePoint sent, core::TimePoint now);
     void recordResult(TargetState &target, const InFlightAttempt &attempt, const AttemptEnd &end, core::TimePoint now);
+    /** Draws the conclusions from an attempt without a sign. Returns false if it counts as a failed one. */
+    bool recordSilence(TargetState &target, const InFlightAttempt &attempt, core::TimePoint now);
     std::optional<std::size_t> findDueProbation(core::TimePoint now, const AssignOptions &options) const;
     /** Whether the report of an ejected target allows a probation request. */
     bool isProbationAssignable(const TargetState &target, const AssignOptions &options, core::TimePoint now) const;
@@ -113,6 +115,7 @@
     std::vector<TargetState> m_targets;
     std::unordered_map<core::TargetId, std::size_t> m_positions;
     ServiceTimes m_times;
+    FullTargetRule m_full;
     Ejections m_ejections;
     CandidateSelection m_selection;
     std::uint64_t m_nextAttempt = 1;
--- a/src/routing/servicetimes.cpp
+++ b/src/routing/servicetimes.cpp
@@ -1,5 +1,7 @@
 #include "routing/servicetimes.h"
 
+#include <algorithm>
+
 namespace pimentoshed::routing
 {
 
@@ -10,6 +12,13 @@
 constexpr double SampleWeight = 0.05;
 /** Assumed processing time as a fraction of the objective, which allows for two to three times the usual time. */
 constexpr double AssumedShareOfObjective = 0.4;
+/** The quantile of the latency that silence is measured by, and the multiple of it: few answers take longer. */
+constexpr double SlowQuantile = 0.95;
+constexpr double QuantilesUntilSilent = 2;
+/** Answers after which the quantile is known: the first ones may all be quick. */
+constexpr unsigned MinAnswered = 20;
+/** Step of the estimate of the quantile, as a fraction of it. */
+constexpr double QuantileStep = 0.05;
 
 } // namespace
 
@@ -30,6 +39,15 @@
 void ServiceTimes::addAnswered(const Answered &answered)
 {
     m_latency.addSample(answered.latency);
+    // Moves up by a step for each longer sample and down by a smaller one for each shorter sample, so that they balance
+    // at the quantile (stochastic approximation; Robbins and Monro, 1951).
+    const auto sample = static_cast<double>(answered.latency.count());
+    if (++m_answeredCount <= MinAnswered) {
+        m_slowQuantile = std::max(m_slowQuantile, sample);
+    } else {
+        const double step = QuantileStep * m_slowQuantile;
+        m_slowQuantile += sample > m_slowQuantile ? step * SlowQuantile : -step * (1 - SlowQuantile);
+    }
     if (answered.hadFreeSlot) {
         m_processingTime.addSample(answered.latency, answered.slowness);
     }
@@ -41,6 +59,14 @@
     m_usualSlowness += (slowness - m_usualSlowness) * SampleWeight;
 }
 
+std::optional<core::Duration> ServiceTimes::silenceLimit() const
+{
+    if (m_answeredCount < MinAnswered) {
+        return std::nullopt;
+    }
+    return core::Duration(static_cast<std::int64_t>(QuantilesUntilSilent * m_slowQuantile));
+}
+
 core::Duration ServiceTimes::meanLatency(bool isLocal) const
 {
     const auto &latency = isLocal ? m_localLatency : m_remoteLatency;
--- a/src/routing/servicetimes.h
+++ b/src/routing/servicetimes.h
@@ -8,6 +8,8 @@
 #include "routing/latency.h"
 #include "routing/processingtimeestimate.h"
 
+#include <optional>
+
 namespace pimentoshed::routing
 {
 
@@ -47,6 +49,8 @@
     {
         return m_usualSlowness;
     }
+    /** After this time without a sign, a target of usual speed is taken for silent. Nothing until enough is known. */
+    std::optional<core::Duration> silenceLimit() const;
     /** Mean latency of local or remote targets; of all of them if unknown. */
     core::Duration meanLatency(bool isLocal) const;
 
@@ -56,6 +60,9 @@
     LatencyEstimate m_remoteLatency;
     /** From attempts that the target could start at once. */
     ProcessingTimeEstimate m_processingTime;
+    /** Quantile of the latency of answered attempts, in nanoseconds. */
+    double m_slowQuantile = 0;
+    unsigned m_answeredCount = 0;
     double m_usualSlowness = 1;
 };
 
--- a/src/routing/targetstate.cpp
+++ b/src/routing/targetstate.cpp
@@ -38,6 +38,8 @@
         m_requestLimit.reset();
         m_isLeaving = false;
         m_pausedUntil = {};
+        m_assumedFullUntil.reset();
+        m_silentAttempts = 0;
     }
     return true;
 }
@@ -66,8 +68,20 @@
         m_nextTurn = std::max(m_nextTurn, now) + m_pace.interval;
     }
     const bool hadFreeSlot = estimatedLoad(now) < slots(context.service);
-    m_attempts.push_back({attempt, now, isProbation, hadFreeSlot, slowness(now, context.times)});
-    return {m_target, attempt, m_attempts.back().slowness};
+    m_attempts.push_back(
+        {attempt, now, isProbation, hadFreeSlot, slowness(now, context.times), silenceLimit(now, context)});
+    return {m_target, attempt, m_attempts.back().slowness, m_attempts.back().silenceLimit};
+}
+
+std::optional<core::Duration> TargetState::silenceLimit(core::TimePoint now, const ServiceContext &context) const
+{
+    const auto usual = context.times.silenceLimit();
+    const auto load = highestLoad(now, context);
+    const bool mayBeFull = !load || *load >= slots(context.service) + context.full.queuePlaces();
+    if (!usual || !context.full.hasReports() || (!mayBeFull && context.full.behaviour(now) != FullBehaviour::Hangs)) {
+        return std::nullopt;
+    }
+    return scaleBySlowness(*usual, slowness(now, context.times));
 }
 
 std::optional<InFlightAttempt> TargetState::endAttempt(std::uint64_t attempt, core::TimePoint now)
@@ -114,6 +128,9 @@
     m_report = report;
     m_reportedAt = now;
     m_inFlightAtReport = m_attempts.size();
+    if (report.waiting == 0 && (report.slots == 0 || report.running < report.slots)) {
+        m_assumedFullUntil.reset();
+    }
     if (report.remainingColdTime > core::Duration{}) {
         m_coldUntil = now + report.remainingColdTime;
     }
@@ -233,6 +250,35 @@
     return ownInFlight + reportWeight(now) * std::max(0.0, reported - static_cast<double>(m_inFlightAtReport));
 }
 
+std::optional<double> TargetState::highestLoad(core::TimePoint now, const ServiceContext &context) const
+{
+    if (!m_report) {
+        return std::nullopt;
+    }
+    const double byOthers =
+        std::max(0.0, static_cast<double>(reportedLoad()) - static_cast<double>(m_inFlightAtReport));
+    return inFlight() + byOthers + context.full.arrivalsWithin(now - m_reportedAt, context.times.latency().mean());
+}
+
+bool TargetState::recordSilence(const InFlightAttempt &attempt, core::TimePoint now, core::Duration lifetime)
+{
+    /** Silent attempts in a row after which a target that reports free slots counts as failing. */
+    constexpr unsigned SilentAttemptsUntilFailing = 3;
+    m_assumedFullUntil = now + lifetime;
+    ++m_silentAttempts;
+    core::log(core::LogLevel::Info,
+              "target-silent",
+              {{"target", m_target->id.str()},
+               {"seconds", core::toSeconds(now - attempt.start)},
+               {"in_row", m_silentAttempts}});
+    return m_silentAttempts < SilentAttemptsUntilFailing;
+}
+
+bool TargetState::isAssumedFull(core::TimePoint now) const
+{
+    return m_assumedFullUntil && now < *m_assumedFullUntil;
+}
+
 double TargetState::slowness(core::TimePoint now, const ServiceTimes &times) const
 {
     const auto *latest = report(now);
@@ -279,7 +325,12 @@
 
 TargetStatus TargetState::status() const
 {
-    return {inFlight(), m_outlierState.isOutlier(), m_isEjected, m_coldUntil.has_value(), m_requestLimit};
+    return {inFlight(),
+            m_outlierState.isOutlier(),
+            m_isEjected,
+            m_coldUntil.has_value(),
+            m_requestLimit,
+            m_assumedFullUntil.has_value()};
 }
 
 } // namespace pimentoshed::routing
--- a/src/routing/targetstate.h
+++ b/src/routing/targetstate.h
@@ -7,6 +7,7 @@
 #include "configuration/model.h"
 #include "membership/requestpace.h"
 #include "routing/assignoptions.h"
+#include "routing/fulltargetrule.h"
 #include "routing/outlierstate.h"
 #include "routing/routerhooks.h"
 #include "routing/servicetimes.h"
@@ -29,6 +30,7 @@
     const configuration::Service &service;
     const RouterHooks &hooks;
     const ServiceTimes &times;
+    const FullTargetRule &full;
 };
 
 /** A request of this host that is in progress at a target. */
@@ -40,6 +42,8 @@
     bool hadFreeSlot = true;
     /** Slowness of the target at the time of the assignment, by its load report. */
     double slowness = 1;
+    /** As in Assignment. */
+    std::optional<core::Duration> silenceLimit{};
 };
 
 /**
@@ -93,6 +97,11 @@
                             const ServiceContext &context);
     /** Ends an attempt. Nothing if it ended before. */
     std::optional<InFlightAttempt> endAttempt(std::uint64_t attempt, core::TimePoint now);
+    /** Records that the target answered an attempt. */
+    void recordAnswer()
+    {
+        m_silentAttempts = 0;
+    }
 
     /** Records the signals of a response to a request sent at @p sent. Returns whether the target began to leave. */
     bool recordSignals(const TargetSignals &signals,
@@ -125,9 +134,23 @@
     unsigned reportedLoad() const;
     /** Estimate of the requests that the target has now, of all hosts. */
     double estimatedLoad(core::TimePoint now) const;
+    /**
+     * The most requests that the target is expected to have now: those of its latest report, however old, this host's
+     * since, and those that other hosts may have sent since. Nothing if the target has not reported its load.
+     */
+    std::optional<double> highestLoad(core::TimePoint now, const ServiceContext &context) const;
     double slowness(core::TimePoint now, const ServiceTimes &times) const;
     core::Duration predictedTime(core::TimePoint now, const ServiceContext &context) const;
 
+    /**
+     * Records that the target gave no sign to an attempt. It counts as full until a later report says that it has a
+     * free slot, or for @p lifetime if it doesn't report. Returns false if this is no sign of a full target: it
+     * happened again although the target had said that it has room, so the target fails.
+     */
+    bool recordSilence(const InFlightAttempt &attempt, core::TimePoint now, core::Duration lifetime);
+    /** Whether the target counts as full because it gave no sign. */
+    bool isAssumedFull(core::TimePoint now) const;
+
     bool isEjected() const
     {
         return m_isEjected;
@@ -152,6 +175,8 @@
     TargetStatus status() const;
 
 private:
+    /** How long the next attempt may wait for a sign, if the target may be full. */
+    std::optional<core::Duration> silenceLimit(core::TimePoint now, const ServiceContext &context) const;
     void setLoadReport(const LoadReport &report, core::TimePoint now);
     void setRequestLimit(const TargetSignals &signals,
                          core::TimePoint sent,
@@ -168,6 +193,10 @@
     core::TimePoint m_reportedAt{};
     /** Requests of this host in flight at the target when the report came. */
     std::size_t m_inFlightAtReport = 0;
+    /** Until when the target counts as full if it reports nothing. Unset if it does not count as full. */
+    std::optional<core::TimePoint> m_assumedFullUntil;
+    /** Attempts in a row to which the target gave no sign. */
+    unsigned m_silentAttempts = 0;
     bool m_isInService = false;
     bool m_isLocal = false;
     bool m_isEjected = false;
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -15,6 +15,7 @@
 
 enum class Metric : std::uint8_t {
     Requests,
+    SilentAttempts,
     RequestsInProgress,
     RequestDuration,
     RequestAddedLatency,
@@ -58,6 +59,10 @@
               MetricKind::Counter,
               "pimentoshed_requests_total",
               "Callers' requests that ended, by service and outcome"},
+    MetricRow{Metric::SilentAttempts,
+              MetricKind::Counter,
+              "pimentoshed_silent_attempts_total",
+              "Attempts that ended without any sign of the target, by service"},
     MetricRow{Metric::RequestsInProgress,
               MetricKind::Gauge,
               "pimentoshed_requests_in_progress",
--- a/src/telemetry/registry.cpp
+++ b/src/telemetry/registry.cpp
@@ -121,6 +121,9 @@
 {
     const std::string outcome(request.failure ? core::errorName(*request.failure) : "answered");
     add(Metric::Requests, {{"service", request.service}, {"outcome", outcome}}, 1);
+    if (request.silentAttempts > 0) {
+        add(Metric::SilentAttempts, {{"service", request.service}}, request.silentAttempts);
+    }
     observe(Metric::RequestDuration, {{"service", request.service}}, request.duration);
     observe(Metric::RequestAddedLatency, {{"service", request.service}}, request.duration - request.targetWait);
 }
--- a/src/telemetry/registry.h
+++ b/src/telemetry/registry.h
@@ -28,6 +28,8 @@
     core::Duration duration{};
     /** The part of the duration spent waiting for the target. */
     core::Duration targetWait{};
+    /** Attempts that ended without any sign of the target. */
+    unsigned silentAttempts = 0;
 };
 
 /** Holds the metrics of MetricTable; counters never decrease. Thread-safe, except for beforeExposition(). */
