--- a/src/entry/requestquota.cpp
+++ b/src/entry/requestquota.cpp
@@ -16,10 +16,10 @@
 /** Divisor of a request's objective: this part of it may pass before the decision. */
 constexpr int ObjectiveDivisor = 4;
 /**
- * Lower bound of that part, and its value for routes without an objective. A host with a tenth of a processor takes
- * tens of milliseconds for a call under load, and a refusal costs its caller more than that.
+ * Lower bound of that part, and its value for routes without an objective. A host with a tenth of a processor may
+ * not run for 100 ms, and a refusal costs its caller more than that.
  */
-constexpr core::Duration MinWait = std::chrono::milliseconds(80);
+constexpr core::Duration MinWait = std::chrono::milliseconds(150);
 
 } // namespace
 
