--- a/src/requests/retrypolicy.h
+++ b/src/requests/retrypolicy.h
@@ -47,7 +47,11 @@
 /**
  * Limits each service's retries to a share of its first attempts. Each first attempt adds the service's retry ratio to
  * the unspent retries, and each retry takes one. Unspent retries have a maximum, so that an hour without failures
- * doesn't allow a burst of retries. Thread-safe; lock rank Requests.
+ * doesn't allow a burst of retries.
+ *
+ * Hedges, which are second attempts beside a slow first one, take from the same budget, so that both together stay
+ * within the retry ratio. Retries come first: a hedge leaves a reserve for them, half of the maximum and at least one.
+ * Hedges are also limited by the service's hedge ratio. Thread-safe; lock rank Requests.
  */
 class RetryBudgets
 {
@@ -58,18 +62,31 @@
      */
     explicit RetryBudgets(std::function<double()> maxUnspent = nullptr);
 
-    /** Adds the service's retry ratio to its budget, for a first attempt. */
+    /** Adds the service's ratios to its budgets, for a first attempt. */
     void earn(const configuration::Service &service);
 
     /** Takes one retry from the budget. Returns false if the budget holds less than one. */
     bool spend(const configuration::Service &service);
 
+    /** Takes one hedge from the budgets. Returns false if they don't hold one besides the reserve for retries. */
+    bool spendOnHedge(const configuration::Service &service);
+
+    /** Takes back spendOnHedge() for an attempt that was not made. */
+    void giveBackHedge(const configuration::Service &service);
+
 private:
+    /** Unspent attempts of a service. */
+    struct Unspent {
+        double retries = 0;
+        /** The part of the retries that may be spent on hedges. */
+        double hedges = 0;
+    };
+
     double maxUnspent(const configuration::Service &service) const;
 
     const std::function<double()> m_maxUnspent;
     core::RankedMutex m_mutex{core::LockRank::Requests};
-    std::unordered_map<core::ServiceName, double> m_unspent;
+    std::unordered_map<core::ServiceName, Unspent> m_unspent;
 };
 
 /** Makes a hook that allows safe attempts while @p budgets hold retries. @p budgets must outlive the hook. */
--- a/tests/requests/retrypolicy.cpp
+++ b/tests/requests/retrypolicy.cpp
@@ -1,5 +1,7 @@
 #include "requests/retrypolicy.h"
 
+#include "core/random.h"
+
 #include <catch2/catch.hpp>
 
 using namespace pimentoshed;
@@ -102,3 +104,53 @@
     service.retryRatio = 0.02;
     CHECK(spendAll(budgets, service) == 2);
 }
+
+TEST_CASE("hedges and retries share a budget, of which hedges leave half and at least one")
+{
+    const auto [maximum, retries] = GENERATE(table<double, unsigned>({{20.0, 10}, {3.6, 1}, {2.0, 1}, {1.0, 1}}));
+    auto service = makeService(0.2);
+    service.hedgeRatio = 0.2;
+    RetryBudgets budgets([limit = maximum]() {
+        return limit;
+    });
+    earn(budgets, service, 500);
+    unsigned hedges = 0;
+    while (budgets.spendOnHedge(service)) {
+        ++hedges;
+    }
+    CHECK(hedges <= static_cast<unsigned>(maximum / 2));
+    CHECK(spendAll(budgets, service) >= retries);
+    CHECK(hedges + retries <= static_cast<unsigned>(maximum) + 1);
+}
+
+TEST_CASE("hedges stay within their share of first attempts, and within the retry ratio together with retries")
+{
+    auto service = makeService(0.1);
+    service.hedgeRatio = 0.02;
+    RetryBudgets budgets;
+    const auto random = core::seededRandom(5);
+    unsigned hedges = 0;
+    unsigned retries = 0;
+    for (unsigned first = 1; first <= 20000; ++first) {
+        budgets.earn(service);
+        hedges += budgets.spendOnHedge(service) ? 1 : 0;
+        retries += core::randomBelow(random, 20) == 0 && budgets.spend(service) ? 1 : 0;
+        REQUIRE(hedges <= 0.02 * first + 1e-6);
+        REQUIRE(hedges + retries <= 0.1 * first + 1e-6);
+    }
+    CHECK(hedges > 300);
+    CHECK(retries > 800);
+}
+
+TEST_CASE("a hedge that was not made is given back")
+{
+    auto service = makeService(0.2);
+    service.hedgeRatio = 0.2;
+    RetryBudgets budgets;
+    earn(budgets, service, 10);
+    CHECK(budgets.spendOnHedge(service) == false);
+    earn(budgets, service, 1000);
+    CHECK(budgets.spendOnHedge(service));
+    budgets.giveBackHedge(service);
+    CHECK(spendAll(budgets, service) == 20);
+}
