Relay a request to two targets at the same time

An attempt claims the caller before it sends anything, which cancels the other one and closes its connection; one that fails ends only itself. For that the head of a response is encoded when it is written, not when it arrives, and the watch of the caller is a class of its own.

--- a/src/http/answerwriter.cpp
+++ b/src/http/answerwriter.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <utility>
 
 namespace pimentoshed::http
 {
@@ -28,26 +29,30 @@
     const bool isOldVersion = m_exchange.request().version() < Version11;
     const bool isUnsized = framing == BodyFraming::LastChunk || framing == BodyFraming::Close;
     m_framing = !isUnsized ? framing : isOldVersion ? BodyFraming::Close : BodyFraming::LastChunk;
-    AnswerHead forwarded(head);
-    removeHopByHopHeaders(forwarded);
-    forwarded.version(Version11);
-    forwarded.erase(message::field::transfer_encoding);
-    forwarded.erase({RunHeader.data(), RunHeader.size()});
+    m_head = head;
+    removeHopByHopHeaders(m_head);
+    m_head.version(Version11);
+    m_head.erase(message::field::transfer_encoding);
+    m_head.erase({RunHeader.data(), RunHeader.size()});
     if (m_framing == BodyFraming::LastChunk) {
-        forwarded.set(message::field::transfer_encoding, "chunked");
+        m_head.set(message::field::transfer_encoding, "chunked");
     }
     if (head.result() == message::status::no_content) {
-        forwarded.erase(message::field::content_length);
+        m_head.erase(message::field::content_length);
     }
+}
+
+void AnswerWriter::encodeHead()
+{
     if (m_framing == BodyFraming::Close || !m_exchange.request().keep_alive()) {
         m_exchange.closeAfterwards();
     }
     if (m_exchange.decideClose()) {
-        forwarded.set(message::field::connection, "close");
-    } else if (isOldVersion) {
-        forwarded.set(message::field::connection, "keep-alive");
+        m_head.set(message::field::connection, "close");
+    } else if (m_exchange.request().version() < Version11) {
+        m_head.set(message::field::connection, "keep-alive");
     }
-    m_buffered = encode(forwarded);
+    m_buffered.insert(0, encode(m_head));
 }
 
 void AnswerWriter::append(std::string_view bytes)
@@ -78,11 +83,6 @@
     return m_buffered.size();
 }
 
-bool AnswerWriter::empty() const
-{
-    return m_buffered.empty();
-}
-
 bool AnswerWriter::hasStarted() const
 {
     return m_hasStarted;
@@ -95,10 +95,12 @@
 
 bool AnswerWriter::flush(const Yield &yield)
 {
+    if (!std::exchange(m_hasStarted, true)) {
+        encodeHead();
+    }
     if (m_buffered.empty()) {
         return true;
     }
-    m_hasStarted = true;
     m_watchdog.arm(m_budget.remaining());
     const auto start = core::steadyNow();
     boost::system::error_code failure;
--- a/src/http/answerwriter.h
+++ b/src/http/answerwriter.h
@@ -38,9 +38,9 @@
     AnswerWriter(Exchange &exchange, StallBudget &budget, Watchdog &watchdog);
 
     /**
-     * Encodes the target's @p head for the caller. @p framing is how the target marks the end of the body. A body
-     * without a length is sent in chunks, because only their last one shows that it is complete; to a caller that uses
-     * HTTP/1.0, it ends by closing the connection.
+     * Takes the target's @p head for the caller, which is encoded when it is written. @p framing is how the target
+     * marks the end of the body. A body without a length is sent in chunks, because only their last one shows that it
+     * is complete; to a caller that uses HTTP/1.0, it ends by closing the connection.
      */
     void head(const AnswerHead &head, BodyFraming framing);
     /** Appends @p bytes of the body. */
@@ -51,7 +51,6 @@
     /** Whether so much is buffered that flush() should be called before more is appended. */
     bool isFull() const;
     std::size_t size() const;
-    bool empty() const;
     /** Whether flush() has begun to write any of the response. */
     bool hasStarted() const;
     /** How the end of the body is marked for the caller. */
@@ -61,9 +60,13 @@
     bool flush(const Yield &yield);
 
 private:
+    /** Puts the encoded head before what is buffered, and decides whether the connection is closed afterwards. */
+    void encodeHead();
+
     Exchange &m_exchange;
     StallBudget &m_budget;
     Watchdog &m_watchdog;
+    AnswerHead m_head;
     std::string m_buffered;
     BodyFraming m_framing = BodyFraming::None;
     bool m_hasStarted = false;
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -39,11 +39,11 @@
         refused.outcome = {requests::RunState::NotRun, core::Error{core::ErrorCode::RequestTooLarge, {}}};
         return refused;
     }
-    RelayAttempt first(exchange, options, std::move(connection));
+    RelayAttempt first(exchange, options, std::move(connection), exchange.yield());
     auto result = first.run();
     if (first.wasStale() && canResend(result, options)) {
         exchange.body().rewind();
-        RelayAttempt second(exchange, options, pool.make());
+        RelayAttempt second(exchange, options, pool.make(), exchange.yield());
         result = second.run();
         second.returnConnection(pool);
         return result;
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -58,6 +58,8 @@
     bool bodyConsumed = false;
     /** Whether the caller closed its connection or read too slowly, so that it gets no further response. */
     bool callerLeft = false;
+    /** Whether another attempt's response went to the caller, so that this attempt was given up. */
+    bool isSuperseded = false;
     /** The signals in the target's response, if there was one. */
     std::optional<routing::TargetSignals> signals;
     /** Whether the response has a 5xx status, unless that means that the request was not run. */
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -49,13 +49,16 @@
 
 RelayAttempt::RelayAttempt(Exchange &exchange,
                            const RelayOptions &options,
-                           std::unique_ptr<TargetConnection> connection)
+                           std::unique_ptr<TargetConnection> connection,
+                           const Yield &yield,
+                           const SharedCaller *shared)
     : m_exchange(exchange)
     , m_options(options)
     , m_protocolHooks(options.protocolHooks == nullptr ? defaultHooks() : *options.protocolHooks)
     , m_connection(std::move(connection))
     , m_caller(exchange.stream())
-    , m_yield(exchange.yield())
+    , m_yield(yield)
+    , m_shared(shared)
     , m_deadline(m_caller.get_executor(),
                  [this]() {
                      abort(ErrorCode::DeadlinePassed, {});
@@ -73,6 +76,10 @@
                           m_callerLeft = true;
                           abort(ErrorCode::CallerTooSlow, "the caller read its response too slowly");
                       })
+    , m_callerWatch(exchange,
+                    [this]() {
+                        cancel(true);
+                    })
     , m_uploadEnd(m_caller.get_executor())
     , m_readBudget(options.minimumRate)
     , m_writeBudget(options.minimumRate)
@@ -94,12 +101,23 @@
         }
         stopUpload();
     }
-    unwatchCaller();
+    m_callerWatch.stop();
     m_silenceWatchdog.disarm();
     m_deadline.disarm();
     return makeResult();
 }
 
+void RelayAttempt::cancel(bool hasCallerLeft)
+{
+    if (m_failure) {
+        return;
+    }
+    m_callerLeft = hasCallerLeft;
+    m_isSuperseded = !hasCallerLeft;
+    abort(hasCallerLeft ? ErrorCode::CallerTooSlow : ErrorCode::TargetFailed,
+          hasCallerLeft ? "the caller closed its connection" : "another attempt was answered first");
+}
+
 bool RelayAttempt::wasStale() const
 {
     return m_stale;
@@ -120,7 +138,14 @@
     m_failure = core::Error{code, std::move(detail)};
     boost::system::error_code ignored;
     m_connection->socket.close(ignored);
-    m_caller.cancel();
+    cancelCaller();
+}
+
+void RelayAttempt::cancelCaller()
+{
+    if (m_shared == nullptr || m_shared->hasClaim()) {
+        m_caller.cancel();
+    }
 }
 
 void RelayAttempt::reachStage(AttemptStage stage)
@@ -267,7 +292,7 @@
 
 void RelayAttempt::stopUpload()
 {
-    unwatchCaller();
+    m_callerWatch.stop();
     if (m_uploading) {
         // The last write may have ended already with its handler still queued; this lets queued handlers run.
         asio::post(m_caller.get_executor(), m_yield);
@@ -295,7 +320,7 @@
             return false;
         }
         if (isFinalHead() && isForThisRequest()) {
-            unwatchCaller();
+            m_callerWatch.stop();
             return !m_failure;
         }
         if (m_failure) {
@@ -336,7 +361,7 @@
     }
     if (!m_failure && m_canReuse) {
         m_failure = core::Error{ErrorCode::TargetFailed, std::move(reason)};
-        m_caller.cancel();
+        cancelCaller();
         return;
     }
     abort(ErrorCode::TargetFailed, std::move(reason));
@@ -418,7 +443,8 @@
     }
     constexpr unsigned FirstServerError = 500;
     m_serverError = m_answerParser->get().result_int() >= FirstServerError;
-    if (m_serverError && !m_options.passServerErrors) {
+    const bool isReplaceable = !m_options.passServerErrors || (m_shared != nullptr && m_shared->hasOther());
+    if (m_serverError && isReplaceable) {
         rejectAnswer(AttemptStage::AnswerStarted,
                      fmt::format("the target responded with status {}", m_answerParser->get().result_int()));
         return;
@@ -439,7 +465,7 @@
     if (endsWithConnection) {
         m_exchange.resetIfCut(true);
     }
-    const bool isRelayed = relayBody(writer) && writer.flush(m_yield);
+    const bool isRelayed = relayBody(writer) && flush(writer);
     m_sentToCaller = writer.hasStarted();
     if (isRelayed && !m_failure) {
         if (endsWithConnection) {
@@ -466,7 +492,7 @@
     while (!m_answerParser->is_done()) {
         const bool mustWait = m_connection->buffer.size() == 0;
         const bool isBuffering = !writer.hasStarted() && writer.size() < m_options.answerBufferBytes;
-        if (!isBuffering && (mustWait || writer.isFull()) && !writer.flush(m_yield)) {
+        if (!isBuffering && (mustWait || writer.isFull()) && !flush(writer)) {
             return false;
         }
         if (!readAnswerPiece(piece)) {
@@ -479,6 +505,15 @@
     return true;
 }
 
+bool RelayAttempt::flush(AnswerWriter &writer)
+{
+    if (!writer.hasStarted() && m_shared != nullptr && !m_shared->claim()) {
+        cancel(false);
+        return false;
+    }
+    return writer.flush(m_yield);
+}
+
 bool RelayAttempt::readAnswerPiece(std::string &piece)
 {
     piece.resize(PieceBytes);
@@ -497,38 +532,9 @@
 
 void RelayAttempt::watchCaller()
 {
-    const bool isWatched = m_watching && *m_watching;
-    if (isWatched || m_failure || m_sentToCaller || m_stage > AttemptStage::HeadSent || !m_exchange.body().received()) {
-        return;
-    }
-    m_watching = std::make_shared<bool>(true);
-    awaitCaller();
-}
-
-void RelayAttempt::awaitCaller()
-{
-    const auto onReadable = [this, watching = m_watching](const boost::system::error_code &failure) {
-        if (failure || !*watching) {
-            return;
-        }
-        const auto state = m_exchange.readAvailable();
-        if (state == CallerConnectionState::Closed) {
-            *watching = false;
-            m_callerLeft = true;
-            abort(ErrorCode::CallerTooSlow, "the caller closed its connection");
-        } else if (state == CallerConnectionState::Open) {
-            awaitCaller();
-        }
-    };
-    m_caller.socket().async_wait(asio::socket_base::wait_read,
-                                 asio::bind_executor(m_caller.get_executor(), onReadable));
-}
-
-void RelayAttempt::unwatchCaller()
-{
-    if (m_watching && std::exchange(*m_watching, false)) {
-        boost::system::error_code ignored;
-        m_caller.socket().cancel(ignored);
+    const bool isWaiting = !m_failure && !m_sentToCaller && m_stage <= AttemptStage::HeadSent;
+    if (isWaiting && m_shared == nullptr && m_exchange.body().received()) {
+        m_callerWatch.start();
     }
 }
 
@@ -546,6 +552,7 @@
     result.sentToCaller = m_sentToCaller;
     result.bodyConsumed = !m_exchange.body().canRewind();
     result.callerLeft = m_callerLeft;
+    result.isSuperseded = m_isSuperseded;
     return result;
 }
 
--- a/src/http/relayattempt.h
+++ b/src/http/relayattempt.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "http/answerwriter.h"
+#include "http/callerwatch.h"
 #include "http/connectionpool.h"
 #include "http/exchange.h"
 #include "http/relay.h"
@@ -19,19 +20,40 @@
 namespace pimentoshed::http
 {
 
+/** What an attempt needs to know of another one that may run at the same time for the same caller. */
+struct SharedCaller {
+    /** Called before anything is sent to the caller. Returns false if it gets the other attempt's response. */
+    std::function<bool()> claim;
+    /** Whether this attempt's response goes to the caller. */
+    std::function<bool()> hasClaim;
+    /** Whether the other attempt may still bring a response. */
+    std::function<bool()> hasOther;
+};
+
 /**
  * Sends the request and relays the response at the same time. The body is uploaded in a coroutine of its own, on the
  * same strand, so that a target that responds before it has read the whole body can't cause a deadlock. The first
  * failure ends both directions.
+ *
+ * With a SharedCaller, the request's body must have been received and kept, and the caller is watched by whoever shares
+ * it: the attempt touches the caller's connection only once it has claimed it.
  */
 class RelayAttempt
 {
 public:
-    RelayAttempt(Exchange &exchange, const RelayOptions &options, std::unique_ptr<TargetConnection> connection);
+    /** @p yield belongs to the coroutine that calls run(). @p shared is null if there is no other attempt. */
+    RelayAttempt(Exchange &exchange,
+                 const RelayOptions &options,
+                 std::unique_ptr<TargetConnection> connection,
+                 const Yield &yield,
+                 const SharedCaller *shared = nullptr);
 
     /** Makes the attempt. Called once. */
     RelayResult run();
 
+    /** Ends the attempt, because its response isn't needed any more or the caller has left. */
+    void cancel(bool hasCallerLeft);
+
     /** Whether the attempt failed because the target closed a reused connection before any byte of a response came. */
     bool wasStale() const;
 
@@ -43,6 +65,8 @@
 
     /** Records the failure, unless there is one already, and cancels the operations of both connections. */
     void abort(core::ErrorCode code, std::string detail);
+    /** Cancels the operations of the caller's connection, unless it is left to another attempt. */
+    void cancelCaller();
     void reachStage(requests::AttemptStage stage);
 
     bool connect();
@@ -79,13 +103,11 @@
     bool skipAnswer();
     void relayAnswer();
     bool relayBody(AnswerWriter &writer);
+    bool flush(AnswerWriter &writer);
     bool readAnswerPiece(std::string &piece);
 
     /** Starts to watch the caller's connection once the request was received completely. */
     void watchCaller();
-    /** Aborts the attempt if the caller closes its connection. Requests that arrive meanwhile are buffered. */
-    void awaitCaller();
-    void unwatchCaller();
     RelayResult makeResult();
 
     Exchange &m_exchange;
@@ -96,7 +118,8 @@
     AnswerClassification m_classification;
     std::unique_ptr<TargetConnection> m_connection;
     boost::beast::tcp_stream &m_caller;
-    Yield &m_yield;
+    Yield m_yield;
+    const SharedCaller *const m_shared;
     /** Aborts the attempt when its deadline passes. */
     Watchdog m_deadline;
     /** Asks whether to give the attempt up when the target gives no sign. */
@@ -105,6 +128,8 @@
     Watchdog m_readWatchdog;
     /** Aborts the attempt when the caller reads its response too slowly. */
     Watchdog m_writeWatchdog;
+    /** Aborts the attempt if the caller closes its connection. */
+    CallerWatch m_callerWatch;
     boost::asio::steady_timer m_uploadEnd;
     StallBudget m_readBudget;
     StallBudget m_writeBudget;
@@ -112,12 +137,12 @@
     std::optional<core::Error> m_failure;
     requests::AttemptStage m_stage = requests::AttemptStage::NotConnected;
     core::Duration m_headWaitTime{};
-    std::shared_ptr<bool> m_watching;
     std::uint64_t m_bodyBytes = 0;
     bool m_uploading = false;
     bool m_uploaded = false;
     bool m_sentToCaller = false;
     bool m_callerLeft = false;
+    bool m_isSuperseded = false;
     bool m_stale = false;
     bool m_canReuse = false;
     bool m_serverError = false;
