Let a request use only what a service has to spare

AssignOptions::spareOnly keeps it to idle warm targets without a request limit that are no outliers, and usedShare() says how much of a service's slots is in use. Nothing uses them yet.

--- a/src/routing/assignoptions.h
+++ b/src/routing/assignoptions.h
@@ -37,6 +37,11 @@
     bool localOnly = false;
     /** Whether only targets of usual speed with most of their slots free may be chosen. */
     bool idleOnly = false;
+    /**
+     * Whether the request is one that the service could do without, so that it may only use what is to spare: idle
+     * targets that are warm, no outliers and without a request limit. Such a request is never one of probation.
+     */
+    bool spareOnly = false;
     /**
      * Whether an ejected target gets a probation request only if it has just reported its load and can be expected to
      * end the request in time. For hosts that probe targets; shortlist() then also offers targets that are due.
--- a/src/routing/candidateselection.cpp
+++ b/src/routing/candidateselection.cpp
@@ -49,6 +49,13 @@
     return byReport.value_or(target.inFlight() + context.full.usualLoadByOthers());
 }
 
+/** Whether the target may get a request that only uses what is to spare. */
+bool isSpare(const TargetState &target, core::TimePoint now, const ServiceContext &context)
+{
+    return !target.isCold(now) && !target.hasRequestLimit() && !target.outlierState().isOutlier()
+           && isIdle(target, now, context);
+}
+
 bool hasReachableLocal(std::span<const TargetState> targets, const AssignOptions &options, core::TimePoint now)
 {
     return std::any_of(targets.begin(), targets.end(), [&](const TargetState &target) {
@@ -153,7 +160,8 @@
                 target.isServing() && !target.isEjected() && target.outlierState().isOutlier() == wantsOutliers;
             const unsigned maxInFlight = isUsable ? target.limit(now, context) : 0;
             if (target.inFlight() >= maxInFlight || !target.isReachable(now) || !isAllowed(options, *target.target())
-                || (localOnly && !target.isLocal()) || (!isProbed && !target.isProbeAllowed(now))) {
+                || (localOnly && !target.isLocal()) || (!isProbed && !target.isProbeAllowed(now))
+                || (options.spareOnly && !isSpare(target, now, context))) {
                 continue;
             }
             if (purpose == SelectionPurpose::Request && !isKnownToHaveRoom(target, options, now, context)) {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -191,6 +191,16 @@
     return guarded->router.usualProcessingTime();
 }
 
+double Router::usedShare(const core::ServiceName &service, core::TimePoint now) const
+{
+    const auto guarded = find(service);
+    if (!guarded) {
+        return 1;
+    }
+    const core::Lock lock(guarded->mutex);
+    return guarded->router.usedShare(now);
+}
+
 TargetStatus Router::status(const core::ServiceName &service, const core::TargetId &id) const
 {
     const auto guarded = find(service);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -81,6 +81,9 @@
     /** Usual time of a request of @p service once it has a target; zero if unknown. */
     core::Duration usualProcessingTime(const core::ServiceName &service) const;
 
+    /** Share of the slots of the service's serving targets that is in use, 0 to 1; 1 if there are none. */
+    double usedShare(const core::ServiceName &service, core::TimePoint now) const;
+
     TargetStatus status(const core::ServiceName &service, const core::TargetId &id) const;
 
 private:
--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -85,7 +85,7 @@
                                                                              std::size_t count)
 {
     std::vector<std::shared_ptr<const targets::Target>> found;
-    if (options.probationNeedsReport && options.allowedTargets.empty()) {
+    if (options.probationNeedsReport && options.allowedTargets.empty() && !options.spareOnly) {
         auto anyReport = options;
         anyReport.probationNeedsReport = false;
         if (const auto position = findDueProbation(now, anyReport)) {
@@ -242,6 +242,20 @@
     return target == nullptr ? TargetStatus{} : target->status();
 }
 
+double ServiceRouter::usedShare(core::TimePoint now) const
+{
+    double used = 0;
+    double total = 0;
+    for (const auto &target : m_targets) {
+        if (target.isServing()) {
+            const auto slots = target.slots(m_service);
+            used += std::min<double>(target.estimatedLoad(now), slots);
+            total += slots;
+        }
+    }
+    return total > 0 ? used / total : 1;
+}
+
 core::Duration ServiceRouter::usualProcessingTime() const
 {
     return core::Duration(static_cast<std::int64_t>(m_times.processingTime().nanoseconds()));
@@ -277,7 +291,7 @@
 {
     // Where reports are needed, shortlist() has limited how many targets were offered.
     const bool isTurn = options.probationNeedsReport || m_ejections.isProbationTurn();
-    if (m_ejections.outlierCount() == 0 || !isTurn) {
+    if (m_ejections.outlierCount() == 0 || !isTurn || options.spareOnly) {
         return std::nullopt;
     }
     return m_ejections.findDue(m_targets, now, m_hooks.random, [&](const TargetState &target) {
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -85,6 +85,8 @@
     void updateRequestPaces();
 
     TargetStatus status(const core::TargetId &id) const;
+    /** Share of the slots of the serving targets that is in use, 0 to 1, by this host's requests and load reports. */
+    double usedShare(core::TimePoint now) const;
     /** Usual time of a request at a target of usual speed with a free slot; zero if unknown. */
     core::Duration usualProcessingTime() const;
     const LatencyEstimate &latency() const;
--- a/src/routing/targetstate.h
+++ b/src/routing/targetstate.h
@@ -122,6 +122,11 @@
     unsigned limit(core::TimePoint now, const ServiceContext &context) const;
     unsigned slots(const configuration::Service &service) const;
     bool isCold(core::TimePoint now) const;
+    /** Whether the target names a limit on the requests per second that it takes. */
+    bool hasRequestLimit() const
+    {
+        return m_requestLimit.has_value();
+    }
     /** When the target's pause has ended and its limit allows a request of this host. */
     core::TimePoint nextAllowed() const;
     /** Whether the target may be probed: one that limits its requests only once for each request that it allows. */
--- a/tests/routing/servicerouter.cpp
+++ b/tests/routing/servicerouter.cpp
@@ -411,3 +411,46 @@
     router.update(restarted);
     CHECK(router.shortlist(Start + 2s, {}, 2).size() == 2);
 }
+
+TEST_CASE("a request that may only use what is to spare goes to an idle warm target without a limit, or nowhere")
+{
+    auto router = makeRouter(1, routing::PickerKind::LeastExpectedTime, 4);
+    routing::AssignOptions spare;
+    spare.spareOnly = true;
+    const auto assignable = [&router, &spare]() {
+        return core::ok(router.assign(Start, spare));
+    };
+    SECTION("idle")
+    {
+        CHECK(assignable());
+        CHECK(router.usedShare(Start) == 0.25);
+    }
+    SECTION("half used")
+    {
+        CHECK(assignable());
+        CHECK(assignable());
+        CHECK_FALSE(assignable());
+        CHECK(core::ok(router.assign(Start)));
+    }
+    SECTION("cold")
+    {
+        router.update(makeTarget("t0", "ravne", targets::Condition::Cold, 1));
+        CHECK_FALSE(assignable());
+        CHECK(core::ok(router.assign(Start)));
+    }
+    SECTION("an outlier")
+    {
+        const auto failed = core::value(router.assign(Start));
+        router.release(failed, {AttemptOutcome::Failed, std::chrono::milliseconds(5), {}}, Start);
+        CHECK_FALSE(assignable());
+        CHECK_FALSE(core::ok(router.assign(Start + std::chrono::seconds(10), spare)));
+    }
+    SECTION("with a limit of requests")
+    {
+        routing::TargetSignals signals;
+        signals.limitStatement = routing::LimitStatement::Named;
+        signals.requestLimit = 1000;
+        router.recordSignals(makeTarget("t0"), signals, Start, Start);
+        CHECK_FALSE(assignable());
+    }
+}
