Send slow idempotent requests to a second target, within the operators' limit

entry::HedgedRelay joins the decision, the race and the assignment of a spare target. The limit is hedge_ratio per service, 0 by default.

The effect on the share of slow responses has not been measured.

--- a/src/configuration/bindings.cpp
+++ b/src/configuration/bindings.cpp
@@ -109,6 +109,7 @@
     {Key::ShedIsNotRun, directSetter<bool>(&Service::shedIsNotRun)},
     {Key::ProbesPerSecond, directSetter<double>(&Service::probesPerSecond)},
     {Key::RetryRatio, directSetter<double>(&Service::retryRatio)},
+    {Key::HedgeRatio, directSetter<double>(&Service::hedgeRatio)},
 };
 
 template<typename Owner>
--- a/src/configuration/keys.cpp
+++ b/src/configuration/keys.cpp
@@ -290,6 +290,15 @@
            {0, 1},
            Format::Any,
            "retries, as a share of first attempts"},
+    KeyRow{Key::HedgeRatio,
+           Section::Service,
+           "hedge_ratio",
+           ValueType::Number,
+           Unit::None,
+           0.0,
+           {0, 1},
+           Format::Any,
+           "second attempts beside a slow first one, as a share of first attempts; they also count as retries"},
 };
 
 std::string describeTypeAndBounds(const KeyRow &row)
--- a/src/configuration/keys.h
+++ b/src/configuration/keys.h
@@ -105,6 +105,7 @@
     ShedIsNotRun,
     ProbesPerSecond,
     RetryRatio,
+    HedgeRatio,
 };
 
 /** The key has no default: the file must contain it. */
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -1,5 +1,6 @@
 #include "entry/attempts.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pimentoshed::entry
@@ -17,31 +18,6 @@
  */
 constexpr std::size_t MaxTriedTargets = 6;
 
-routing::AttemptOutcome attemptOutcome(const http::RelayResult &result)
-{
-    if (result.stage == requests::AttemptStage::NotConnected && result.outcome.failure
-        && result.outcome.failure->code == ErrorCode::TargetFailed) {
-        return routing::AttemptOutcome::Unreachable;
-    }
-    if (result.isSilent) {
-        return routing::AttemptOutcome::Silent;
-    }
-    if (result.serverError) {
-        return routing::AttemptOutcome::Failed;
-    }
-    if (!result.outcome.failure) {
-        return routing::AttemptOutcome::Answered;
-    }
-    switch (result.outcome.failure->code) {
-    case ErrorCode::TargetFailed:
-    case ErrorCode::AnswerTruncated:
-    case ErrorCode::DeadlinePassed:
-        return routing::AttemptOutcome::Failed;
-    default:
-        return routing::AttemptOutcome::Cancelled;
-    }
-}
-
 /** Records the result of a failed attempt at target @p id. */
 void recordFailure(ActiveRequest &request, const core::TargetId &id, const http::RelayResult &result)
 {
@@ -56,7 +32,7 @@
 bool canResend(const http::RelayResult &result)
 {
     const auto code = result.outcome.failure->code;
-    return !result.sentToCaller && !result.bodyConsumed && !result.callerLeft
+    return !result.sentToCaller && !result.isSuperseded && !result.bodyConsumed && !result.callerLeft
            && (code == ErrorCode::TargetFailed || code == ErrorCode::AnswerTruncated);
 }
 
@@ -65,11 +41,13 @@
 Attempts::Attempts(const CallerHandlerDependencies &dependencies,
                    const TargetAssignment &assignment,
                    const RequestQuota &quota,
+                   const HedgedRelay &relay,
                    const Refusals &refusals,
                    const RequestLog &log)
     : m_dependencies(dependencies)
     , m_assignment(assignment)
     , m_quota(quota)
+    , m_relay(relay)
     , m_refusals(refusals)
     , m_log(log)
 {
@@ -94,18 +72,27 @@
             endWithoutTarget(request, core::error(quota), completed);
             return;
         }
-        const auto result = attempt(request, target);
+        request.isRetryGranted = false;
+        const auto ended = m_relay.run(request, std::move(target), [this, &request]() {
+            return grantRetry(request);
+        });
+        const auto &result = ended.back().result;
         completed.targetWait = result.headWaitTime;
-        completed.silentAttempts += result.isSilent ? 1 : 0;
+        completed.silentAttempts +=
+            static_cast<unsigned>(std::count_if(ended.begin(), ended.end(), [](const auto &each) {
+                return each.result.isSilent;
+            }));
         if (!result.outcome.failure) {
             completed.failure.reset();
-            m_log.logIfLate(request, target.assignment, result);
+            m_log.logIfLate(request, ended.back().assignment, result);
             return;
         }
-        recordFailure(request, target.assignment.target->id, result);
+        for (const auto &each : ended) {
+            recordFailure(request, each.assignment.target->id, each.result);
+        }
         completed.failure = request.outcome.failure->code;
-        if (!mayRetry(request, result)) {
-            refuseOrClose(request, result);
+        if (!mayRetry(request, ended)) {
+            refuseOrClose(request, ended);
             return;
         }
         request.exchange.body().rewind();
@@ -138,50 +125,6 @@
     m_dependencies.scheduler.notifyCapacity(request.service->name);
 }
 
-http::RelayResult Attempts::attempt(ActiveRequest &request, AssignedTarget &assigned) const
-{
-    const auto &target = *assigned.assignment.target;
-    auto options = relayOptions(request, target);
-    request.isRetryGranted = false;
-    options.silenceLimit = assigned.assignment.silenceLimit;
-    options.onSilence = [this, &request]() {
-        return grantRetry(request);
-    };
-    const auto started = m_dependencies.timers.now();
-    request.row->sendTo(target.id, request.service->name, started);
-    auto result =
-        assigned.connection
-            ? http::relayOn(std::move(assigned.connection), request.exchange, m_dependencies.connections, options)
-            : http::relay(request.exchange, m_dependencies.connections, options);
-    const auto ended = m_dependencies.timers.now();
-    request.row->awaitAssignment(ended);
-    m_dependencies.router.release(
-        assigned.assignment, {attemptOutcome(result), ended - started, result.signals}, ended);
-    m_dependencies.scheduler.notifyCapacity(request.service->name);
-    if (result.outcome.failure) {
-        m_log.logFailure(request, target, result);
-    }
-    return result;
-}
-
-http::RelayOptions Attempts::relayOptions(const ActiveRequest &request, const targets::Target &target) const
-{
-    http::RelayOptions options;
-    options.address = target.address;
-    options.deadline = request.waiting.deadline();
-    options.maxRequestBytes = request.service->maxRequestBytes;
-    options.shedIsNotRun = request.service->shedIsNotRun;
-    options.idempotent = request.waiting.isIdempotent();
-    options.passServerErrors = !options.idempotent || request.attemptsSent + 1 >= request.route->maxAttempts;
-    options.answerBufferBytes = m_dependencies.options.answerBufferBytes;
-    options.target = target.id;
-    options.protocolHooks = &m_dependencies.protocolHooks;
-    if (!request.active->configuration->workspaces.empty()) {
-        options.workspace = request.caller.workspace ? request.caller.workspace->name : core::WorkspaceName();
-    }
-    return options;
-}
-
 bool Attempts::grantRetry(ActiveRequest &request) const
 {
     if (!request.exchange.body().canRewind() || request.triedTargets.size() + 1 >= MaxTriedTargets) {
@@ -194,9 +137,12 @@
     return request.isRetryGranted;
 }
 
-bool Attempts::mayRetry(const ActiveRequest &request, const http::RelayResult &result) const
+bool Attempts::mayRetry(const ActiveRequest &request, const std::vector<EndedAttempt> &ended) const
 {
-    if (!canResend(result) || request.triedTargets.size() >= MaxTriedTargets) {
+    const bool canResendAll = std::all_of(ended.begin(), ended.end(), [](const auto &each) {
+        return canResend(each.result);
+    });
+    if (!canResendAll || request.triedTargets.size() >= MaxTriedTargets) {
         return false;
     }
     const auto failed = latestAttempt(request, m_dependencies.timers.now());
@@ -207,9 +153,12 @@
     return request.attemptsSent == 0 ? requests::canRetry(failed) : m_dependencies.mayRetry(failed);
 }
 
-void Attempts::refuseOrClose(const ActiveRequest &request, const http::RelayResult &result) const
+void Attempts::refuseOrClose(const ActiveRequest &request, const std::vector<EndedAttempt> &ended) const
 {
-    if (result.sentToCaller || result.callerLeft) {
+    const bool isOver = std::any_of(ended.begin(), ended.end(), [](const auto &each) {
+        return each.result.sentToCaller || each.result.callerLeft;
+    });
+    if (isOver) {
         request.exchange.closeAfterwards();
         return;
     }
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "entry/hedgedrelay.h"
 #include "entry/refusals.h"
 #include "entry/requestlog.h"
 #include "entry/requestquota.h"
@@ -12,13 +13,14 @@
 namespace pimentoshed::entry
 {
 
-/** Sends a request to targets, one after the other, and responds to its caller. */
+/** Sends a request to targets until one answers, and responds to its caller. */
 class Attempts
 {
 public:
     Attempts(const CallerHandlerDependencies &dependencies,
              const TargetAssignment &assignment,
              const RequestQuota &quota,
+             const HedgedRelay &relay,
              const Refusals &refusals,
              const RequestLog &log);
 
@@ -32,19 +34,18 @@
                           telemetry::CompletedRequest &completed) const;
     /** Frees a target that was assigned to a request that is not sent. */
     void release(const ActiveRequest &request, AssignedTarget &assigned) const;
-    http::RelayResult attempt(ActiveRequest &request, AssignedTarget &assigned) const;
-    http::RelayOptions relayOptions(const ActiveRequest &request, const targets::Target &target) const;
     /**
      * Whether an attempt at a silent target should be given up for another one: the request may run again, and the
      * retry budget allows it. If so, mayRetry() takes no further retry from the budget.
      */
     bool grantRetry(ActiveRequest &request) const;
-    bool mayRetry(const ActiveRequest &request, const http::RelayResult &result) const;
-    void refuseOrClose(const ActiveRequest &request, const http::RelayResult &result) const;
+    bool mayRetry(const ActiveRequest &request, const std::vector<EndedAttempt> &ended) const;
+    void refuseOrClose(const ActiveRequest &request, const std::vector<EndedAttempt> &ended) const;
 
     const CallerHandlerDependencies &m_dependencies;
     const TargetAssignment &m_assignment;
     const RequestQuota &m_quota;
+    const HedgedRelay &m_relay;
     const Refusals &m_refusals;
     const RequestLog &m_log;
 };
--- a/src/entry/callerhandlerdependencies.h
+++ b/src/entry/callerhandlerdependencies.h
@@ -10,6 +10,7 @@
 #include "http/connectionpool.h"
 #include "http/protocolhooks.h"
 #include "quotas/decision.h"
+#include "requests/hedge.h"
 #include "requests/requestsinprogress.h"
 #include "requests/retrypolicy.h"
 #include "requests/stoprule.h"
@@ -52,6 +53,8 @@
     std::function<membership::EntryHost()> self;
     /** Decides whether a failed attempt is retried. */
     requests::RetryHook mayRetry;
+    /** Decide on second attempts beside slow first ones; if empty, there are none. */
+    requests::HedgeHooks hedging;
     /** Called before the first attempt of each request, with its service. */
     std::function<void(const configuration::Service &)> onFirstAttempt;
     /** Called at the end of each request that was relayed or refused. */
--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -2,7 +2,9 @@
 
 #include "entry/attempts.h"
 #include "entry/configurationfollower.h"
+#include "entry/hedgedrelay.h"
 #include "entry/refusals.h"
+#include "entry/relaystep.h"
 #include "entry/requestadmission.h"
 #include "entry/requestidentification.h"
 #include "entry/requestlog.h"
@@ -133,7 +135,9 @@
     const RequestQuota m_quota{m_dependencies.timers, m_dependencies.spendQuota, m_dependencies.giveBackQuota};
     const Refusals m_refusals{m_dependencies};
     const RequestLog m_log{m_dependencies};
-    const Attempts m_attempts{m_dependencies, m_assignment, m_quota, m_refusals, m_log};
+    const RelayStep m_step{m_dependencies, m_log};
+    const HedgedRelay m_relay{m_dependencies, m_assignment, m_step, m_log};
+    const Attempts m_attempts{m_dependencies, m_assignment, m_quota, m_relay, m_refusals, m_log};
 };
 
 } // namespace
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -5,6 +5,7 @@
 #include "core/workerpool.h"
 #include "entry/controlfeedclient.h"
 #include "entry/quotaclient.h"
+#include "requests/hedgepolicy.h"
 #include "routing/coldtargetlimiter.h"
 #include "routing/requestpacer.h"
 #include "telemetry/exposition.h"
@@ -63,6 +64,11 @@
             return *m_settings.maxUnspentRetries / static_cast<double>(std::max<std::size_t>(1, m_view.hostCount()));
         })
                                                     : nullptr)
+        , m_hedgePolicy(m_retryBudgets,
+                        [this](const core::ServiceName &service) {
+                            return requests::ServiceUse{m_router.usedShare(service, m_timers.now()),
+                                                        m_scheduler.waitingCount(service)};
+                        })
         , m_feedClient(std::make_shared<ControlFeedClient>(
               ControlFeedClient::Dependencies{m_pool,
                                               m_timers,
@@ -182,6 +188,7 @@
                                                                return self();
                                                            },
                                                            requests::makeBudgetedRetryHook(m_retryBudgets),
+                                                           hedgeHooks(),
                                                            [this](const auto &service) {
                                                                m_retryBudgets.earn(service);
                                                            },
@@ -262,6 +269,37 @@
         return hooks;
     }
 
+    requests::HedgeHooks hedgeHooks()
+    {
+        requests::HedgeHooks hooks;
+        hooks.delay = [this](const requests::HedgeCandidate &candidate) {
+            return m_hedgePolicy.delay(candidate, m_timers.now());
+        };
+        hooks.mayHedge = [this](const requests::HedgeCandidate &candidate) {
+            return m_hedgePolicy.spend(candidate, m_timers.now());
+        };
+        hooks.giveBack = [this](const configuration::Service &service) {
+            m_hedgePolicy.giveBack(service);
+        };
+        hooks.onResponse = [this](const auto &service, const auto &route, core::Duration duration) {
+            if (service.hedgeRatio > 0) {
+                m_hedgePolicy.record(route, duration, m_timers.now());
+            }
+        };
+        hooks.onShed = [this](const configuration::Service &service) {
+            if (service.hedgeRatio > 0) {
+                m_hedgePolicy.recordShed(service.name, m_timers.now());
+            }
+        };
+        hooks.onEnd = [this](const core::ServiceName &service, requests::HedgeOutcome outcome) {
+            m_metrics.add(telemetry::Metric::Hedges,
+                          {{"service", service.str()},
+                           {"outcome", std::string(core::nameOf(requests::HedgeOutcomeNames, outcome))}},
+                          1);
+        };
+        return hooks;
+    }
+
     /** Divides cold targets, and the requests to targets that limit them, among the entry hosts that are known now. */
     void divideTargets()
     {
@@ -308,6 +346,7 @@
     void applyConfiguration(const changes::ActiveConfiguration &active)
     {
         m_scheduler.configure(*active.configuration);
+        m_hedgePolicy.configure(*active.configuration);
         m_router.setDomainsOutOfService(domainsOutOfService(active));
         if (m_router.configure(active.configuration)) {
             for (const auto &target : m_targets.all()) {
@@ -427,6 +466,7 @@
     http::ConnectionPool m_connections;
     RequestScheduler m_scheduler;
     requests::RetryBudgets m_retryBudgets;
+    requests::HedgePolicy m_hedgePolicy;
     std::shared_ptr<ControlFeedClient> m_feedClient;
     std::shared_ptr<QuotaClient> m_quotaClient;
     std::shared_ptr<http::Server> m_callerServer;
--- /dev/null
+++ b/src/entry/relaystep.cpp
@@ -0,0 +1,80 @@
+#include "entry/relaystep.h"
+
+namespace pimentoshed::entry
+{
+
+using core::ErrorCode;
+
+namespace
+{
+
+routing::AttemptOutcome attemptOutcome(const http::RelayResult &result)
+{
+    if (result.isSuperseded) {
+        return routing::AttemptOutcome::Cancelled;
+    }
+    if (result.stage == requests::AttemptStage::NotConnected && result.outcome.failure
+        && result.outcome.failure->code == ErrorCode::TargetFailed) {
+        return routing::AttemptOutcome::Unreachable;
+    }
+    if (result.isSilent) {
+        return routing::AttemptOutcome::Silent;
+    }
+    if (result.serverError) {
+        return routing::AttemptOutcome::Failed;
+    }
+    if (!result.outcome.failure) {
+        return routing::AttemptOutcome::Answered;
+    }
+    switch (result.outcome.failure->code) {
+    case ErrorCode::TargetFailed:
+    case ErrorCode::AnswerTruncated:
+    case ErrorCode::DeadlinePassed:
+        return routing::AttemptOutcome::Failed;
+    default:
+        return routing::AttemptOutcome::Cancelled;
+    }
+}
+
+} // namespace
+
+RelayStep::RelayStep(const CallerHandlerDependencies &dependencies, const RequestLog &log)
+    : m_dependencies(dependencies)
+    , m_log(log)
+{
+}
+
+http::RelayOptions RelayStep::options(const ActiveRequest &request,
+                                      const targets::Target &target,
+                                      unsigned attempts) const
+{
+    http::RelayOptions options;
+    options.address = target.address;
+    options.deadline = request.waiting.deadline();
+    options.maxRequestBytes = request.service->maxRequestBytes;
+    options.shedIsNotRun = request.service->shedIsNotRun;
+    options.idempotent = request.waiting.isIdempotent();
+    options.passServerErrors = !options.idempotent || attempts + 1 >= request.route->maxAttempts;
+    options.answerBufferBytes = m_dependencies.options.answerBufferBytes;
+    options.target = target.id;
+    options.protocolHooks = &m_dependencies.protocolHooks;
+    if (!request.active->configuration->workspaces.empty()) {
+        options.workspace = request.caller.workspace ? request.caller.workspace->name : core::WorkspaceName();
+    }
+    return options;
+}
+
+void RelayStep::end(const ActiveRequest &request,
+                    const routing::Assignment &assignment,
+                    core::TimePoint started,
+                    const http::RelayResult &result) const
+{
+    const auto now = m_dependencies.timers.now();
+    m_dependencies.router.release(assignment, {attemptOutcome(result), now - started, result.signals}, now);
+    m_dependencies.scheduler.notifyCapacity(request.service->name);
+    if (result.outcome.failure && !result.isSuperseded) {
+        m_log.logFailure(request, *assignment.target, result);
+    }
+}
+
+} // namespace pimentoshed::entry
--- a/src/entry/requestlog.cpp
+++ b/src/entry/requestlog.cpp
@@ -49,6 +49,20 @@
                {"error", describe(*result.outcome.failure)}});
 }
 
+void RequestLog::logHedge(const ActiveRequest &request,
+                          const targets::Target &first,
+                          const targets::Target &second,
+                          core::Duration delay) const
+{
+    core::log(core::LogLevel::Debug,
+              "request-hedged",
+              {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
+               {"service", request.service->name.str()},
+               {"first", first.id.str()},
+               {"second", second.id.str()},
+               {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()}});
+}
+
 void RequestLog::logIfLate(const ActiveRequest &request,
                            const routing::Assignment &assignment,
                            const http::RelayResult &result) const
--- a/src/entry/requestlog.h
+++ b/src/entry/requestlog.h
@@ -24,6 +24,12 @@
 
     void logFailure(const ActiveRequest &request, const targets::Target &target, const http::RelayResult &result) const;
 
+    /** Logs, for debugging, a second attempt at @p second that begins @p delay after the one at @p first. */
+    void logHedge(const ActiveRequest &request,
+                  const targets::Target &first,
+                  const targets::Target &second,
+                  core::Duration delay) const;
+
     /** Logs a request that was answered after its objective, with where its time went. */
     void logIfLate(const ActiveRequest &request,
                    const routing::Assignment &assignment,
--- a/src/entry/targetassignment.cpp
+++ b/src/entry/targetassignment.cpp
@@ -149,19 +149,57 @@
     if (const auto checked = m_follower.checkKeys(request); !core::ok(checked)) {
         return core::error(checked);
     }
-    routing::AssignOptions options;
+    auto options = assignOptions(request, found);
     options.excludedTargets = request.triedTargets;
-    options.objective = request.waiting.timeLeft(found.usualProcessingTime, found.now);
     options.localOnly = !request.waiting.mayUseRemoteDomains(found.usualProcessingTime, found.now);
     options.idleOnly = acceptable == AcceptableTargets::Idle;
     options.probationNeedsReport = m_prober.probesTargets(*request.service);
-    auto probed = m_prober.probeTargets(request, options);
+    auto probed = m_prober.probeTargets(request, options, request.exchange.yield());
+    request.probedTargets = probed.size();
+    request.respondingTargets = respondingTargets(probed).size();
+    request.hasSurveyed = true;
+    return assignProbed(request, options, std::move(probed));
+}
+
+core::Result<AssignedTarget> TargetAssignment::assignSpare(const ActiveRequest &request,
+                                                           const core::TargetId &other,
+                                                           const http::Yield &yield) const
+{
+    const auto found = situation(request);
+    if (const auto active = m_dependencies.view.current(found.now); !core::ok(active)) {
+        return core::error(active);
+    }
+    if (const auto ended = request.waiting.ended(found)) {
+        return *ended;
+    }
+    if (const auto checked = m_follower.checkKeys(request); !core::ok(checked)) {
+        return core::error(checked);
+    }
+    if (found.stop) {
+        return core::Error{ErrorCode::Stopping, "a stopping host makes no second attempts"};
+    }
+    auto excluded = request.triedTargets;
+    excluded.push_back(other);
+    auto options = assignOptions(request, found);
+    options.excludedTargets = excluded;
+    options.localOnly = true;
+    options.idleOnly = true;
+    options.spareOnly = true;
+    auto probed = m_prober.probeTargets(request, options, yield);
+    if (m_prober.probesTargets(*request.service) && respondingTargets(probed).empty()) {
+        m_prober.takeConnection(std::move(probed), nullptr);
+        return core::Error{ErrorCode::NoTarget, "no idle target answered a probe"};
+    }
+    return assignProbed(request, options, std::move(probed));
+}
+
+core::Result<AssignedTarget> TargetAssignment::assignProbed(const ActiveRequest &request,
+                                                            routing::AssignOptions options,
+                                                            std::vector<ProbedTarget> probed) const
+{
     // Only targets that answered a probe are eligible: the load that the others last reported may be out of date.
     const auto responding = respondingTargets(probed);
     options.allowedTargets = responding;
-    request.probedTargets = probed.size();
-    request.respondingTargets = responding.size();
-    request.hasSurveyed = true;
     auto assignment = m_dependencies.router.assign(request.service->name, m_dependencies.timers.now(), options);
     auto connection = m_prober.takeConnection(std::move(probed),
                                               core::ok(assignment) ? &core::value(assignment).target->id : nullptr);
@@ -171,6 +209,14 @@
     return AssignedTarget{std::move(core::value(assignment)), std::move(connection)};
 }
 
+routing::AssignOptions TargetAssignment::assignOptions(const ActiveRequest &request,
+                                                       const requests::WaitSituation &found)
+{
+    routing::AssignOptions options;
+    options.objective = request.waiting.timeLeft(found.usualProcessingTime, found.now);
+    return options;
+}
+
 requests::WaitSituation TargetAssignment::situation(const ActiveRequest &request) const
 {
     return {.now = m_dependencies.timers.now(),
--- a/src/entry/targetassignment.h
+++ b/src/entry/targetassignment.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 namespace pimentoshed::entry
 {
@@ -35,6 +36,14 @@
      */
     core::Result<AssignedTarget> assignOrWait(ActiveRequest &request) const;
 
+    /**
+     * Assigns a target for a second attempt beside that at @p other: one with room to spare, in the own failure domain.
+     * Runs in the coroutine of @p yield and doesn't wait. Errors: as above; Stopping always if this host is stopping.
+     */
+    core::Result<AssignedTarget> assignSpare(const ActiveRequest &request,
+                                             const core::TargetId &other,
+                                             const http::Yield &yield) const;
+
 private:
     /** Which of the targets with capacity a request may take. */
     enum class AcceptableTargets : std::uint8_t {
@@ -58,6 +67,12 @@
      */
     core::Result<AssignedTarget> assign(ActiveRequest &request,
                                         AcceptableTargets acceptable = AcceptableTargets::Any) const;
+    /** Assigns one of the targets that answered their probes, or any if none was probed. */
+    core::Result<AssignedTarget> assignProbed(const ActiveRequest &request,
+                                              routing::AssignOptions options,
+                                              std::vector<ProbedTarget> probed) const;
+    /** The restrictions that hold for every attempt of @p request. */
+    static routing::AssignOptions assignOptions(const ActiveRequest &request, const requests::WaitSituation &found);
     /** What @p request finds now. Its caller and the targets' pauses are left to where they are looked at. */
     requests::WaitSituation situation(const ActiveRequest &request) const;
 
--- a/src/entry/targetprober.cpp
+++ b/src/entry/targetprober.cpp
@@ -28,7 +28,8 @@
 }
 
 std::vector<ProbedTarget> TargetProber::probeTargets(const ActiveRequest &request,
-                                                     const routing::AssignOptions &options) const
+                                                     const routing::AssignOptions &options,
+                                                     const http::Yield &yield) const
 {
     std::vector<ProbedTarget> probed;
     if (!probesTargets(*request.service)) {
@@ -46,7 +47,7 @@
         probeOptions.excludedTargets = excluded;
         // A probe across failure domains is expensive, so remote targets are probed one at a time.
         const bool single = probed.empty() || !probeOptions.localOnly;
-        auto round = probe(request, probeOptions, single ? 1 : m_dependencies.options.probesPerRound);
+        auto round = probe(request, probeOptions, yield, single ? 1 : m_dependencies.options.probesPerRound);
         if (round.empty() && (options.localOnly || !probeOptions.localOnly)) {
             break;
         }
@@ -99,6 +100,7 @@
 
 std::vector<ProbedTarget> TargetProber::probe(const ActiveRequest &request,
                                               const routing::AssignOptions &options,
+                                              const http::Yield &yield,
                                               std::size_t count) const
 {
     const auto chosen =
@@ -114,6 +116,7 @@
     const auto sent = m_dependencies.timers.now();
     auto results =
         http::probeLoad(request.exchange,
+                        yield,
                         m_dependencies.connections,
                         endpoints,
                         {request.service->healthPath, probeTimeout(*request.route), m_dependencies.protocolHooks});
--- a/src/entry/targetprober.h
+++ b/src/entry/targetprober.h
@@ -35,10 +35,13 @@
 
     /**
      * Probes the most promising targets for their load until one of them has capacity: an idle one is taken at once,
-     * otherwise the best of one round. Local targets are probed first, all of them if necessary, because a local probe
-     * costs little compared with sending the request to another failure domain. Returns all probed targets.
+     * otherwise the best of one round. Runs in the coroutine of @p yield. Local targets are probed first, all of them
+     * if necessary, because a local probe costs little compared with sending the request to another failure domain.
+     * Returns all probed targets.
      */
-    std::vector<ProbedTarget> probeTargets(const ActiveRequest &request, const routing::AssignOptions &options) const;
+    std::vector<ProbedTarget> probeTargets(const ActiveRequest &request,
+                                           const routing::AssignOptions &options,
+                                           const http::Yield &yield) const;
 
     /** Returns the connection of the probe of @p chosen, if it has one; those of the others go back to the pool. */
     std::unique_ptr<http::TargetConnection> takeConnection(std::vector<ProbedTarget> probed,
@@ -56,6 +59,7 @@
     /** Probes up to @p count targets and passes their load, or the lack of a response, to the router. */
     std::vector<ProbedTarget> probe(const ActiveRequest &request,
                                     const routing::AssignOptions &options,
+                                    const http::Yield &yield,
                                     std::size_t count) const;
 
     const CallerHandlerDependencies &m_dependencies;
--- a/src/http/loadprobe.cpp
+++ b/src/http/loadprobe.cpp
@@ -155,6 +155,7 @@
 } // namespace
 
 std::vector<LoadProbeResult> probeLoad(Exchange &exchange,
+                                       const Yield &yield,
                                        ConnectionPool &pool,
                                        const std::vector<LoadProbeTarget> &targets,
                                        const LoadProbeOptions &options)
@@ -175,7 +176,7 @@
     round->timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(options.timeout));
     if (round->pending > 0) {
         error_code cancelled;
-        round->timer.async_wait(exchange.yield()[cancelled]);
+        round->timer.async_wait(yield[cancelled]);
     }
     round->isOver = true;
     std::vector<LoadProbeResult> results;
--- a/src/http/loadprobe.h
+++ b/src/http/loadprobe.h
@@ -42,8 +42,12 @@
     const ProtocolHooks &protocolHooks;
 };
 
-/** Probes all @p targets at once, within the exchange's coroutine. Returns the results in the same order. */
+/**
+ * Probes all @p targets at once, within the coroutine of @p yield, which is that of the exchange or another one on its
+ * strand. Returns the results in the same order.
+ */
 std::vector<LoadProbeResult> probeLoad(Exchange &exchange,
+                                       const Yield &yield,
                                        ConnectionPool &pool,
                                        const std::vector<LoadProbeTarget> &targets,
                                        const LoadProbeOptions &options);
--- a/tests/configuration/keys.cpp
+++ b/tests/configuration/keys.cpp
@@ -30,7 +30,7 @@
         CHECK(&rowOf(row.key) == &row);
         CHECK(row.bounds.lower <= row.bounds.upper);
     }
-    CHECK(next == static_cast<unsigned>(Key::RetryRatio) + 1);
+    CHECK(next == static_cast<unsigned>(Key::HedgeRatio) + 1);
 }
 
 TEST_CASE("docs/CONFIGURATION.md lists exactly the keys of keyTable")
