--- a/src/core/time.h
+++ b/src/core/time.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace pimentoshed::core
@@ -27,4 +28,10 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/** Converts @p duration, which is not negative, to whole milliseconds, for messages. */
+inline std::uint64_t toMilliseconds(Duration duration)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace pimentoshed::core
