Store rollouts in the replicated log, and keep the software versions of targets

Orders of rollouts, their steps and outcomes must survive what configurations survive, and hosts must know the versions of targets, which announcements named and nothing read.

StartRollout is a change of an operator, MoveRollout a decision of the leader; both are commands of the log that hosts of the former version never see unless a rollout is ordered.

--- a/src/changes/change.h
+++ b/src/changes/change.h
@@ -6,6 +6,7 @@
 
 #include "core/error.h"
 #include "core/ids.h"
+#include "rollouts/rollout.h"
 
 #include <cstdint>
 #include <string>
@@ -38,7 +39,25 @@
     bool operator==(const SetDomainAvailability &) const = default;
 };
 
-using Change = std::variant<ApplyFile, SetDomainAvailability>;
+/** Starts a rollout of a service. */
+struct StartRollout {
+    core::ChangeId id;
+    rollouts::Order order;
+    /** The number of the service's newest rollout that the operator based this change on; 0 for none. */
+    std::uint64_t replaces = 0;
+
+    bool operator==(const StartRollout &) const = default;
+};
+
+using Change = std::variant<ApplyFile, SetDomainAvailability, StartRollout>;
+
+/** A decision of the leader about the rollout of a service. It is no change of an operator, and has no id. */
+struct MoveRollout {
+    core::ServiceName service;
+    rollouts::Move move;
+
+    bool operator==(const MoveRollout &) const = default;
+};
 
 /** Returns the id of @p change. */
 const core::ChangeId &idOf(const Change &change);
--- a/src/changes/digest.cpp
+++ b/src/changes/digest.cpp
@@ -28,6 +28,12 @@
     return hash(fmt::format("{} {}", change.out ? "out" : "in", change.domain.str()));
 }
 
+Digest digest(const StartRollout &change)
+{
+    const auto &[service, softwareVersion, over] = change.order;
+    return hash(fmt::format("rollout {} {} {}", service.str(), softwareVersion, over.count()));
+}
+
 } // namespace
 
 Digest digestOf(const Change &change)
--- a/src/changes/digest.h
+++ b/src/changes/digest.h
@@ -20,8 +20,9 @@
 };
 
 /**
- * Returns the digest of what @p change requests. It leaves out the change count that a SetDomainAvailability expects,
- * since an operator who resends the change after a lost answer reads that count again.
+ * Returns the digest of what @p change requests. It leaves out the change count that a SetDomainAvailability expects
+ * and the number that a StartRollout replaces, since an operator who resends the change after a lost answer reads them
+ * again.
  */
 Digest digestOf(const Change &change);
 
--- a/src/changes/ledger.cpp
+++ b/src/changes/ledger.cpp
@@ -82,15 +82,33 @@
     return m_active;
 }
 
+Answer Ledger::apply(const MoveRollout &decision)
+{
+    const auto found = m_active.rollouts.find(decision.service);
+    if (found == m_active.rollouts.end()) {
+        return refusal(ErrorCode::NoSuchService, decision.service.str() + " has no rollout");
+    }
+    if (const auto moved = found->second.apply(decision.move); !core::ok(moved)) {
+        return core::error(moved);
+    }
+    ++m_active.revision;
+    return Accepted{m_active.revision, m_active.version};
+}
+
 LedgerState Ledger::snapshot() const
 {
+    std::vector<rollouts::Rollout> rollouts;
+    for (const auto &[service, rollout] : m_active.rollouts) {
+        rollouts.push_back(rollout);
+    }
     return {m_active.revision,
             m_active.version,
             m_active.text,
             m_active.domains,
             m_lastMoves,
             {m_replacements.begin(), m_replacements.end()},
-            m_answers.all()};
+            m_answers.all(),
+            std::move(rollouts)};
 }
 
 core::Result<Ledger> Ledger::restore(LedgerState state, configuration::FileParser parser)
@@ -119,6 +137,12 @@
     for (auto &answered : state.answers) {
         ledger.m_answers.add(std::move(answered));
     }
+    for (auto &rollout : state.rollouts) {
+        if (!rollouts::isValid(rollout)) {
+            return core::Error{ErrorCode::SnapshotDamaged, "the rollout of " + rollout.order.service.str()};
+        }
+        ledger.m_active.rollouts.emplace(rollout.order.service, std::move(rollout));
+    }
     return ledger;
 }
 
@@ -147,6 +171,7 @@
     m_active.version = version;
     m_active.text = change.text;
     m_active.domains = std::move(domains);
+    endDroppedRollouts(file);
     m_active.configuration = std::make_shared<const configuration::Configuration>(std::move(file));
     if (m_replacements.size() > MaxReplacements) {
         m_replacements.pop_front();
@@ -176,6 +201,54 @@
     return Accepted{m_active.revision, m_active.version};
 }
 
+Answer Ledger::applyNew(const StartRollout &change)
+{
+    const auto &order = change.order;
+    if (const auto checked = rollouts::check(order); !core::ok(checked)) {
+        return core::error(checked);
+    }
+    if (!m_active.configuration || configuration::findService(*m_active.configuration, order.service) == nullptr) {
+        return refusal(ErrorCode::NoSuchService, order.service.str());
+    }
+    const auto found = m_active.rollouts.find(order.service);
+    const bool isKnown = found != m_active.rollouts.end();
+    if (isKnown && found->second.state == rollouts::State::Running) {
+        const auto &running = found->second;
+        return running.order == order
+                   ? Answer(Accepted{running.revision, running.version})
+                   : refusal(ErrorCode::RolloutRunning,
+                             fmt::format("{} to version {}", order.service.str(), running.order.softwareVersion));
+    }
+    const auto number = isKnown ? found->second.number : 0;
+    if (change.replaces != number) {
+        return refusal(
+            ErrorCode::ChangeSuperseded,
+            fmt::format("the newest rollout of {} is number {}, not {}", order.service.str(), number, change.replaces));
+    }
+    if (!isKnown && m_active.rollouts.size() >= MaxRollouts) {
+        return refusal(ErrorCode::ConfigOutOfBounds, fmt::format("rollouts of at most {} services", MaxRollouts));
+    }
+    ++m_active.revision;
+    rollouts::Rollout rollout;
+    rollout.order = order;
+    rollout.number = number + 1;
+    rollout.revision = m_active.revision;
+    rollout.version = m_active.version;
+    m_active.rollouts.insert_or_assign(order.service, std::move(rollout));
+    return Accepted{m_active.revision, m_active.version};
+}
+
+void Ledger::endDroppedRollouts(const configuration::Configuration &file)
+{
+    for (auto &[service, rollout] : m_active.rollouts) {
+        const bool isRunning = rollout.state == rollouts::State::Running;
+        if (isRunning && configuration::findService(file, service) == nullptr) {
+            rollout.state = rollouts::State::RolledBack;
+            rollout.reason = rollouts::Reason::ServiceDropped;
+        }
+    }
+}
+
 Answer Ledger::versionConflict(std::uint64_t replaces) const
 {
     const auto version = m_active.version;
--- a/src/changes/ledger.h
+++ b/src/changes/ledger.h
@@ -41,6 +41,8 @@
      * file that drops a domain does not return it to service.
      */
     std::map<core::FailureDomain, DomainState> domains;
+    /** The newest rollout of each service that has one. */
+    std::map<core::ServiceName, rollouts::Rollout> rollouts;
 };
 
 /** The change that replaced a version of the file. */
@@ -62,6 +64,7 @@
     /** The changes that made the latest versions, oldest first; the last one made the version in force. */
     std::vector<VersionReplacement> replacements;
     std::vector<AnsweredChange> answers;
+    std::vector<rollouts::Rollout> rollouts;
 
     bool operator==(const LedgerState &) const = default;
 };
@@ -73,6 +76,8 @@
 inline constexpr std::size_t MaxReplacements = 1024;
 /** The number of failure domains whose state is kept, including those of earlier files. */
 inline constexpr std::size_t MaxFailureDomains = 256;
+/** The number of services whose newest rollout is kept, including services of earlier files. */
+inline constexpr std::size_t MaxRollouts = 4096;
 /** The maximum length of the id of a change, in characters. */
 inline constexpr std::size_t MaxChangeIdLength = 128;
 
@@ -89,11 +94,14 @@
 
     /**
      * Applies @p change and returns its answer. Errors: MessageMalformed for an invalid id, ChangeIdReused for another
-     * change under the same id, UnknownDomain, VersionConflict, ChangeSuperseded, ConfigOutOfBounds, and those of
-     * the parser.
+     * change under the same id, UnknownDomain, VersionConflict, ChangeSuperseded, ConfigOutOfBounds, NoSuchService,
+     * RolloutRunning, and those of the parser.
      */
     Answer apply(const Change &change);
 
+    /** Applies a decision about a rollout. Errors: NoSuchService, ChangeSuperseded. */
+    Answer apply(const MoveRollout &decision);
+
     const ActiveConfiguration &activeConfiguration() const;
 
     LedgerState snapshot() const;
@@ -104,6 +112,9 @@
 private:
     Answer applyNew(const ApplyFile &change);
     Answer applyNew(const SetDomainAvailability &change);
+    Answer applyNew(const StartRollout &change);
+    /** Ends the rollouts of services that @p file drops. */
+    void endDroppedRollouts(const configuration::Configuration &file);
     Answer versionConflict(std::uint64_t replaces) const;
     /** Returns the state of the failure domains once @p file is in force. */
     std::map<core::FailureDomain, DomainState> carryOverDomains(const configuration::Configuration &file) const;
--- a/src/control/replicatedstate.cpp
+++ b/src/control/replicatedstate.cpp
@@ -29,7 +29,9 @@
         return rpc::encodeAnswer(withdraw(*target));
     }
     const core::Lock lock(m_mutex);
-    const auto answer = m_ledger.apply(std::get<changes::Change>(core::value(command)));
+    const auto *move = std::get_if<changes::MoveRollout>(&core::value(command));
+    const auto answer =
+        move != nullptr ? m_ledger.apply(*move) : m_ledger.apply(std::get<changes::Change>(core::value(command)));
     publish();
     return rpc::encodeAnswer(answer);
 }
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -35,6 +35,7 @@
     NoQuorum = 3005,
     NotLeader = 3006,
     ChangeIdReused = 3007,
+    RolloutRunning = 3008,
     NoSuchService = 4001,
     NoTarget = 4002,
     NotCurrent = 4003,
--- a/src/entry/targethttphandler.cpp
+++ b/src/entry/targethttphandler.cpp
@@ -43,6 +43,7 @@
             return malformed("condition: expected cold, warm, leaving or gone");
         }
         target.condition = *condition;
+        target.softwareVersion = parsed.value("version", "");
     } catch (const json::exception &failure) {
         return malformed(failure.what());
     }
--- a/src/rpc/codec.cpp
+++ b/src/rpc/codec.cpp
@@ -2,6 +2,7 @@
 
 #include "rpc/compression.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pimentoshed::rpc
@@ -65,6 +66,7 @@
     message.set_origin(target.origin.str());
     message.set_slots(target.slots);
     message.set_withdrawn(target.version.withdrawn);
+    message.set_software_version(target.softwareVersion);
 }
 
 core::Result<targets::Target> decode(const Target &message)
@@ -82,9 +84,97 @@
     target.condition = condition;
     target.origin = core::HostId(message.origin());
     target.slots = message.slots();
+    target.softwareVersion = message.software_version();
     return target;
 }
 
+void encode(const rollouts::Rollout &rollout, Rollout &message)
+{
+    message.set_service(rollout.order.service.str());
+    message.set_software_version(rollout.order.softwareVersion);
+    message.set_over_ms(core::toMilliseconds(rollout.order.over));
+    message.set_number(rollout.number);
+    message.set_state(static_cast<std::uint32_t>(rollout.state));
+    message.set_step(rollout.step);
+    message.set_reason(static_cast<std::uint32_t>(rollout.reason));
+    message.set_elapsed_ms(core::toMilliseconds(rollout.elapsed));
+    message.set_revision(rollout.revision);
+    message.set_version(rollout.version);
+}
+
+core::Result<rollouts::Rollout> decode(const Rollout &message)
+{
+    rollouts::Rollout rollout;
+    rollout.order = {
+        core::ServiceName(message.service()), message.software_version(), std::chrono::milliseconds(message.over_ms())};
+    rollout.number = message.number();
+    rollout.state = static_cast<rollouts::State>(message.state());
+    rollout.step = message.step();
+    rollout.reason = static_cast<rollouts::Reason>(message.reason());
+    rollout.elapsed = std::chrono::milliseconds(message.elapsed_ms());
+    rollout.revision = message.revision();
+    rollout.version = message.version();
+    if (!rollouts::isValid(rollout)) {
+        return core::Error{core::ErrorCode::MessageMalformed, "rollout of " + message.service()};
+    }
+    return rollout;
+}
+
+namespace
+{
+
+void encode(const rollouts::Counts &counts, ResponseCounts &message)
+{
+    message.set_responses(counts.responses);
+    message.set_failures(counts.failures);
+    const auto end = std::find_if(counts.durations.rbegin(), counts.durations.rend(), [](std::uint64_t count) {
+                         return count > 0;
+                     }).base();
+    message.mutable_durations()->Add(counts.durations.begin(), end);
+}
+
+rollouts::Counts decode(const ResponseCounts &message)
+{
+    rollouts::Counts counts;
+    counts.responses = message.responses();
+    counts.failures = std::min(message.failures(), counts.responses);
+    const auto size = std::min(message.durations_size(), static_cast<int>(counts.durations.size()));
+    std::copy_n(message.durations().begin(), size, counts.durations.begin());
+    return counts;
+}
+
+} // namespace
+
+void encode(const rollouts::HostCounts &counts, VersionCounts &message)
+{
+    message.set_host(counts.host.str());
+    message.set_incarnation(counts.incarnation);
+    message.set_service(counts.service.str());
+    message.set_rollout(counts.number);
+    message.set_route(counts.route.str());
+    encode(counts.counts.newVersion, *message.mutable_new_version());
+    encode(counts.counts.oldVersions, *message.mutable_old_versions());
+}
+
+rollouts::HostCounts decode(const VersionCounts &message)
+{
+    return {core::HostId(message.host()),
+            message.incarnation(),
+            core::ServiceName(message.service()),
+            message.rollout(),
+            core::RouteName(message.route()),
+            {decode(message.new_version()), decode(message.old_versions())}};
+}
+
+std::vector<rollouts::HostCounts> decodeCounts(const ReportRequest &message)
+{
+    std::vector<rollouts::HostCounts> counts;
+    for (const auto &encoded : message.version_counts()) {
+        counts.push_back(decode(encoded));
+    }
+    return counts;
+}
+
 void encode(const membership::ControlHost &host, ControlHost &message)
 {
     message.set_id(host.id.str());
@@ -107,6 +197,9 @@
         encoded->set_out(domain.out);
         encoded->set_changes(domain.changeCount);
     }
+    for (const auto &[service, rollout] : active.rollouts) {
+        encode(rollout, *message.add_rollouts());
+    }
 }
 
 namespace
@@ -160,6 +253,14 @@
     for (const auto &domain : message.domains()) {
         active.domains[core::FailureDomain(domain.name())] = {domain.out(), domain.changes()};
     }
+    for (const auto &encoded : message.rollouts()) {
+        auto rollout = decode(encoded);
+        if (!core::ok(rollout)) {
+            return core::error(rollout);
+        }
+        auto &decoded = core::value(rollout);
+        active.rollouts.insert_or_assign(decoded.order.service, decoded);
+    }
     return active;
 }
 
--- a/src/rpc/codec.h
+++ b/src/rpc/codec.h
@@ -8,8 +8,11 @@
 #include "core/error.h"
 #include "membership/versionedhosttable.h"
 #include "pimentoshed.pb.h"
+#include "rollouts/counttable.h"
 #include "targets/target.h"
 
+#include <vector>
+
 namespace pimentoshed::rpc
 {
 
@@ -23,6 +26,14 @@
 /** Error: MessageMalformed if the condition is unknown. */
 core::Result<targets::Target> decode(const Target &message);
 
+void encode(const rollouts::Rollout &rollout, Rollout &message);
+/** Error: MessageMalformed if no rollout can have this state. */
+core::Result<rollouts::Rollout> decode(const Rollout &message);
+
+void encode(const rollouts::HostCounts &counts, VersionCounts &message);
+rollouts::HostCounts decode(const VersionCounts &message);
+std::vector<rollouts::HostCounts> decodeCounts(const ReportRequest &message);
+
 void encode(const membership::ControlHost &host, ControlHost &message);
 membership::ControlHost decode(const ControlHost &message);
 
--- a/src/rpc/commandcodec.cpp
+++ b/src/rpc/commandcodec.cpp
@@ -31,18 +31,57 @@
         message->set_out(change.out);
         message->set_replaces(change.expectedChangeCount);
     }
+    void operator()(const changes::StartRollout &change) const
+    {
+        auto *message = command.mutable_start_rollout();
+        message->set_change_id(change.id.str());
+        message->set_service(change.order.service.str());
+        message->set_software_version(change.order.softwareVersion);
+        message->set_over_ms(core::toMilliseconds(change.order.over));
+        message->set_replaces(change.replaces);
+    }
+    void operator()(const changes::Change &change) const
+    {
+        std::visit(*this, change);
+    }
+    void operator()(const targets::Target &target) const
+    {
+        encode(target, *command.mutable_withdrawal());
+    }
+    void operator()(const changes::MoveRollout &decision) const
+    {
+        auto *message = command.mutable_move_rollout();
+        message->set_service(decision.service.str());
+        message->set_number(decision.move.number);
+        message->set_step(decision.move.step);
+        message->set_kind(static_cast<std::uint32_t>(decision.move.kind));
+        message->set_reason(static_cast<std::uint32_t>(decision.move.reason));
+        message->set_elapsed_ms(core::toMilliseconds(decision.move.elapsed));
+    }
 };
 
+core::Result<Command> decodeMove(const LogCommand &command)
+{
+    const auto &message = command.move_rollout();
+    rollouts::Move move;
+    move.number = message.number();
+    move.step = message.step();
+    move.kind = static_cast<rollouts::MoveKind>(message.kind());
+    move.reason = static_cast<rollouts::Reason>(message.reason());
+    move.elapsed = std::chrono::milliseconds(message.elapsed_ms());
+    if (core::nameOf(rollouts::MoveKindNames, move.kind).empty()
+        || core::nameOf(rollouts::ReasonNames, move.reason).empty()) {
+        return core::Error{core::ErrorCode::MessageMalformed, "unknown move of the rollout of " + message.service()};
+    }
+    return Command(changes::MoveRollout{core::ServiceName(message.service()), move});
+}
+
 } // namespace
 
 std::string encodeCommand(const Command &command)
 {
     LogCommand message;
-    if (const auto *change = std::get_if<changes::Change>(&command)) {
-        std::visit(CommandEncoder{message}, *change);
-    } else {
-        encode(std::get<targets::Target>(command), *message.mutable_withdrawal());
-    }
+    std::visit(CommandEncoder{message}, command);
     return message.SerializeAsString();
 }
 
@@ -72,6 +111,17 @@
         auto target = decode(command.withdrawal());
         return core::ok(target) ? core::Result<Command>(Command(core::value(target))) : core::error(target);
     }
+    if (command.has_start_rollout()) {
+        const auto &message = command.start_rollout();
+        return Command(changes::Change(changes::StartRollout{core::ChangeId(message.change_id()),
+                                                             {core::ServiceName(message.service()),
+                                                              message.software_version(),
+                                                              std::chrono::milliseconds(message.over_ms())},
+                                                             message.replaces()}));
+    }
+    if (command.has_move_rollout()) {
+        return decodeMove(command);
+    }
     return core::Error{core::ErrorCode::MessageMalformed, "log command is empty"};
 }
 
--- a/src/rpc/commandcodec.h
+++ b/src/rpc/commandcodec.h
@@ -14,8 +14,8 @@
 namespace pimentoshed::rpc
 {
 
-/** An operator's change, or the withdrawal of a target, which gets no new requests any more. */
-using Command = std::variant<changes::Change, targets::Target>;
+/** An operator's change, the withdrawal of a target, which gets no new requests any more, or a move of a rollout. */
+using Command = std::variant<changes::Change, targets::Target, changes::MoveRollout>;
 
 std::string encodeCommand(const Command &command);
 /** Error: MessageMalformed. */
--- a/src/rpc/statecodec.cpp
+++ b/src/rpc/statecodec.cpp
@@ -45,6 +45,9 @@
         encoded->set_digest_high(answered.digest.high);
         encoded->mutable_answer()->ParseFromString(encodeAnswer(answered.answer));
     }
+    for (const auto &rollout : ledger.rollouts) {
+        encode(rollout, *message.add_rollouts());
+    }
 }
 
 core::Result<changes::LedgerState> decodeLedger(const StateSnapshot &message)
@@ -72,6 +75,13 @@
                                   {answered.digest_high(), answered.digest_low()},
                                   decodeAnswer(answered.answer().SerializeAsString())});
     }
+    for (const auto &encoded : message.rollouts()) {
+        const auto rollout = decode(encoded);
+        if (!core::ok(rollout)) {
+            return damaged(core::error(rollout).detail);
+        }
+        ledger.rollouts.push_back(core::value(rollout));
+    }
     return ledger;
 }
 
--- a/tests/changes/ledger.cpp
+++ b/tests/changes/ledger.cpp
@@ -284,6 +284,99 @@
     CHECK(core::error(Ledger::restore(state)).code == core::ErrorCode::SnapshotDamaged);
 }
 
+namespace
+{
+
+const rollouts::Order Order{core::ServiceName("labels"), "v2", std::chrono::seconds(16)};
+
+changes::StartRollout startRollout(const std::string &id, std::uint64_t replaces)
+{
+    return {core::ChangeId(id), Order, replaces};
+}
+
+ApplyFile fileWithService(const std::string &id, unsigned replaces)
+{
+    return {core::ChangeId(id),
+            fmt::format("replaces = {}\nfailure_domains = "
+                        "[\"ravne\"]\n[institution.tourism]\n[service.labels]\ninstitution = \"tourism\"\n"
+                        "path_prefix = \"/labels/\"\nslots = 4\ndeadline_ms = 500\n",
+                        replaces)};
+}
+
+Ledger ledgerWithService()
+{
+    Ledger ledger;
+    const auto applied = ledger.apply(fileWithService("f", 0));
+    INFO((core::ok(applied) ? std::string() : core::describe(core::error(applied))));
+    REQUIRE(core::ok(applied));
+    return ledger;
+}
+
+changes::MoveRollout rollBack(std::uint64_t number)
+{
+    return {Order.service, {number, 0, rollouts::MoveKind::RollBack, rollouts::Reason::Failures, {}}};
+}
+
+} // namespace
+
+TEST_CASE("an order of a rollout that is sent again while it runs gets its first answer")
+{
+    auto ledger = ledgerWithService();
+    const auto first = ledger.apply(startRollout("a", 0));
+    REQUIRE(core::ok(first));
+    CHECK(ledger.apply(startRollout("a", 0)) == first);
+    CHECK(ledger.apply(startRollout("b", 0)) == first);
+    CHECK(ledger.apply(startRollout("c", 1)) == first);
+    CHECK(ledger.activeConfiguration().rollouts.at(Order.service).number == 1);
+}
+
+TEST_CASE("another order for a service is refused while a rollout runs, and so is one for an unknown service")
+{
+    auto ledger = ledgerWithService();
+    REQUIRE(core::ok(ledger.apply(startRollout("a", 0))));
+    auto other = startRollout("b", 1);
+    other.order.softwareVersion = "v3";
+    CHECK(codeOf(ledger.apply(other)) == core::ErrorCode::RolloutRunning);
+    other.id = core::ChangeId("c");
+    other.order.service = core::ServiceName("unknown");
+    CHECK(codeOf(ledger.apply(other)) == core::ErrorCode::NoSuchService);
+}
+
+TEST_CASE("a rollout that went back can be ordered again, but not by an order that was based on the one before")
+{
+    auto ledger = ledgerWithService();
+    REQUIRE(core::ok(ledger.apply(startRollout("a", 0))));
+    const auto revision = ledger.activeConfiguration().revision;
+    REQUIRE(core::ok(ledger.apply(rollBack(1))));
+    CHECK(ledger.activeConfiguration().revision == revision + 1);
+    CHECK(codeOf(ledger.apply(rollBack(1))) == core::ErrorCode::ChangeSuperseded);
+    CHECK(ledger.activeConfiguration().revision == revision + 1);
+    CHECK(codeOf(ledger.apply(startRollout("b", 0))) == core::ErrorCode::ChangeSuperseded);
+    REQUIRE(core::ok(ledger.apply(startRollout("c", 1))));
+    const auto &again = ledger.activeConfiguration().rollouts.at(Order.service);
+    CHECK(again.number == 2);
+    CHECK(again.state == rollouts::State::Running);
+    CHECK(codeOf(ledger.apply(rollBack(1))) == core::ErrorCode::ChangeSuperseded);
+}
+
+TEST_CASE("a file that drops a service ends its rollout, and a restored ledger has the same rollouts")
+{
+    auto ledger = ledgerWithService();
+    REQUIRE(core::ok(ledger.apply(startRollout("a", 0))));
+    REQUIRE(core::ok(ledger.apply(fileWithService("g", 1))));
+    CHECK(ledger.activeConfiguration().rollouts.at(Order.service).state == rollouts::State::Running);
+    const auto restored = Ledger::restore(ledger.snapshot());
+    REQUIRE(core::ok(restored));
+    CHECK(core::value(restored).activeConfiguration().rollouts == ledger.activeConfiguration().rollouts);
+    REQUIRE(core::ok(ledger.apply(file("h", 2))));
+    const auto &dropped = ledger.activeConfiguration().rollouts.at(Order.service);
+    CHECK(dropped.state == rollouts::State::RolledBack);
+    CHECK(dropped.reason == rollouts::Reason::ServiceDropped);
+    auto damaged = ledger.snapshot();
+    damaged.rollouts.front().step = 99;
+    CHECK_FALSE(core::ok(Ledger::restore(damaged)));
+}
+
 TEST_CASE("changes race, repeat and arrive late: one file per version, each change once, no domain returned by a file")
 {
     support::checkProperty("races", {.seed = 4121, .count = 500}, []() {
--- a/tests/platform/announcement.cpp
+++ b/tests/platform/announcement.cpp
@@ -26,6 +26,7 @@
     CHECK(core::value(target).id == Id);
     CHECK(core::value(target).slots == 6);
     CHECK(core::value(target).condition == Condition::Cold);
+    CHECK(core::value(target).softwareVersion == "v1");
     CHECK(core::value(target).version == targets::AnnouncementVersion{17, 4});
     const auto leaving = read(R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","slots":6,)"
                               R"("state":"draining","cold_left":"0ms","seq":5,"born":17})");
--- a/tests/rpc/statecodec.cpp
+++ b/tests/rpc/statecodec.cpp
@@ -17,7 +17,19 @@
     target.id = core::TargetId("t");
     target.version = {7, 9, 0, true};
     target.condition = targets::Condition::Leaving;
-    return {ledger.snapshot(), {target}};
+    target.softwareVersion = "v1";
+    auto state = ledger.snapshot();
+    rollouts::Rollout rollout;
+    rollout.order = {core::ServiceName("s"), "v2", std::chrono::seconds(16)};
+    rollout.number = 3;
+    rollout.state = rollouts::State::RolledBack;
+    rollout.step = 2;
+    rollout.reason = rollouts::Reason::Durations;
+    rollout.elapsed = std::chrono::milliseconds(7250);
+    rollout.revision = 9;
+    rollout.version = 4;
+    state.rollouts.push_back(rollout);
+    return {std::move(state), {target}};
 }
 
 } // namespace
