Keep a rollout's share also while only the new version has serving targets

chooseVersion() let all requests go to the one version that had serving targets. A version that is not known to be good would then get more than its share, and one that was taken back would get everything. Now it keeps its share; only requests for a version without serving targets go to the others.

The test case of versionfilter.cpp that expected no choice once the new version is gone now expects a choice that excludes it, which is stricter.

--- a/src/routing/servicerouter.cpp
+++ b/src/routing/servicerouter.cpp
@@ -113,15 +113,11 @@
     if (!division) {
         return std::nullopt;
     }
-    bool hasVersion = false;
-    bool hasOther = false;
-    for (const auto &target : m_targets) {
-        const bool isVersion = target.target()->softwareVersion == division->softwareVersion;
-        hasVersion = hasVersion || (target.isServing() && isVersion);
-        hasOther = hasOther || (target.isServing() && !isVersion);
-    }
-    if (!hasVersion || !hasOther) {
-        return std::nullopt;
+    const bool hasVersion = std::any_of(m_targets.begin(), m_targets.end(), [&division](const TargetState &target) {
+        return target.isServing() && target.target()->softwareVersion == division->softwareVersion;
+    });
+    if (!hasVersion) {
+        return division->share < 1 ? std::optional(ChosenVersion{division->softwareVersion, false}) : std::nullopt;
     }
     return ChosenVersion{division->softwareVersion, core::randomFraction(m_hooks.random) < division->share};
 }
--- a/src/routing/servicerouter.h
+++ b/src/routing/servicerouter.h
@@ -53,8 +53,8 @@
 
     /**
      * Chooses the software version of one request by the versionShare hook, at random. The choice holds for all probes
-     * and attempts of the request. Nothing if the service's requests are not divided, or if only one side of the
-     * division has serving targets: then these get all requests.
+     * of an attempt. Nothing if the service's requests are not divided, or if all would go to a version without serving
+     * targets. While only the version of the division has serving targets, it still gets no more than its share.
      */
     std::optional<ChosenVersion> chooseVersion() const;
 
--- a/tests/routing/versionfilter.cpp
+++ b/tests/routing/versionfilter.cpp
@@ -71,5 +71,7 @@
     gone.condition = targets::Condition::Leaving;
     gone.version = {1, 1};
     router.update(gone);
-    CHECK_FALSE(router.chooseVersion());
+    const auto rest = router.chooseVersion();
+    REQUIRE(rest);
+    CHECK_FALSE(rest->only);
 }
