Conduct rollouts on the leader, and divide requests between versions

Entry hosts count the responses of each version while a rollout is in progress and report totals every 200 ms; RolloutCoordinator relays them to the leader, which decides every 100 ms, submits moves and logs one line for each with the counts that decided it. Requests choose their version by the share in force; with whenStale serve a version that isn't in force gets nothing once the permission has ended. Three metrics show share, responses and failures.

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -1,5 +1,6 @@
 #include "control/controlhost.h"
 
+#include "control/countrelay.h"
 #include "control/followrpchandler.h"
 #include "control/leaderforwarder.h"
 #include "control/leaserpchandler.h"
@@ -7,6 +8,7 @@
 #include "control/peerfollower.h"
 #include "control/replicatedstate.h"
 #include "control/replicator.h"
+#include "control/rolloutcoordinator.h"
 #include "control/targetregistry.h"
 #include "control/targetstore.h"
 #include "core/log.h"
@@ -96,6 +98,11 @@
                                return m_targetKnowledge.isComplete(m_timers.now(), targetLease());
                            }})
         , m_leaseHandler(leaseHandlerDependencies())
+        , m_countRelay(m_peers,
+                       [this]() {
+                           return leader();
+                       })
+        , m_rollouts(rolloutDependencies())
     {
     }
 
@@ -103,6 +110,7 @@
     {
         m_metrics.beforeExposition([this](telemetry::Registry &metrics) {
             updateGauges(metrics);
+            m_rollouts.updateGauges(metrics);
         });
         auto created = createInitialDataFolder();
         if (!core::ok(created)) {
@@ -236,6 +244,37 @@
                 core::steadyNow};
     }
 
+    RolloutCoordinator::Dependencies rolloutDependencies()
+    {
+        RolloutCoordinator::Dependencies dependencies;
+        dependencies.activeConfiguration = [this]() {
+            return m_state.activeConfiguration();
+        };
+        dependencies.isLeader = [this]() {
+            return m_replicator->status().role == consensus::Role::Leader;
+        };
+        dependencies.confirmCurrent = [this](std::function<void(bool)> hook) {
+            m_leaderForwarder->confirm(std::move(hook));
+        };
+        dependencies.submit = [this](const rpc::Command &command, std::function<void(changes::Answer)> done) {
+            submit(command, std::move(done));
+        };
+        dependencies.targets = [this]() {
+            return m_membershipFeed.targets();
+        };
+        dependencies.relay = [this](const std::vector<rollouts::HostCounts> &counts) {
+            m_countRelay.send(counts);
+        };
+        dependencies.now = core::steadyNow;
+        return dependencies;
+    }
+
+    std::optional<core::HostId> leader() const
+    {
+        const auto status = m_replicator->status();
+        return status.leader ? std::optional(status.leader->host) : std::nullopt;
+    }
+
     core::Status listen()
     {
         auto server = rpc::ControlServer::start(m_settings.rpcListen, rpcHooks());
@@ -406,6 +445,10 @@
                                                std::function<void(changes::Answer)> done) {
             submit(target, std::move(done));
         };
+        dependencies.startRollout = [this](const changes::StartRollout &change,
+                                           const std::function<void(changes::Answer)> &done) {
+            m_rollouts.start(change, done);
+        };
         dependencies.activeConfiguration = [this]() {
             return m_state.activeConfiguration();
         };
@@ -667,6 +710,7 @@
 
     void applyReport(const rpc::ReportRequest &request)
     {
+        m_rollouts.record(rpc::decodeCounts(request), request.relayed());
         bool containsOwn = false;
         for (const auto &message : request.changes()) {
             const auto target = rpc::decode(message);
@@ -695,6 +739,7 @@
         updateFollowers();
         requestMembership(now);
         confirmFollowCalls(now);
+        m_rollouts.tick(now);
         answerFollowCalls(now);
     }
 
@@ -732,6 +777,8 @@
     core::TimerService m_timers;
     FollowRpcHandler m_followHandler;
     LeaseRpcHandler m_leaseHandler;
+    CountRelay m_countRelay;
+    RolloutCoordinator m_rollouts;
     std::unique_ptr<Replicator> m_replicator;
     std::unique_ptr<LeaderForwarder> m_leaderForwarder;
     std::unique_ptr<TargetStore> m_targetStore;
--- a/src/control/httphandlerdependencies.h
+++ b/src/control/httphandlerdependencies.h
@@ -26,6 +26,8 @@
 
     /** Submits a change to the replicated log; the callback gets its answer. */
     std::function<void(const changes::Change &, std::function<void(changes::Answer)>)> submitChange;
+    /** Starts a rollout. An order that is sent again gets its first answer. */
+    std::function<void(const changes::StartRollout &, std::function<void(changes::Answer)>)> startRollout;
     /** Returns the active configuration. */
     std::function<std::shared_ptr<const changes::ActiveConfiguration>()> activeConfiguration;
     /** Confirms with a quorum. The callback gets whether the active configuration, if read from then on, is current. */
--- a/src/entry/activerequest.h
+++ b/src/entry/activerequest.h
@@ -12,6 +12,7 @@
 #include "requests/requestsinprogress.h"
 #include "requests/retrypolicy.h"
 #include "requests/waitingrequest.h"
+#include "routing/assignoptions.h"
 #include "workspaces/caller.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -43,6 +44,8 @@
     workspaces::Caller caller{};
     const configuration::Route *route = nullptr;
     const configuration::Service *service = nullptr;
+    /** The versions of targets that the next attempt may go to; all unless the service has had a rollout. */
+    std::optional<routing::ChosenVersion> version{};
     /** The request's row in the table of requests in progress; none until its deadline is known. */
     requests::RequestsInProgress::Row *row = nullptr;
     /** Time spent so far to find targets with capacity. */
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -96,6 +96,8 @@
             return;
         }
         request.exchange.body().rewind();
+        // Chosen anew, so that a request that failed at the new version is likely to succeed.
+        request.version = m_dependencies.router.chooseVersion(request.service->name);
     }
 }
 
--- a/src/entry/callerhandlerdependencies.h
+++ b/src/entry/callerhandlerdependencies.h
@@ -14,6 +14,7 @@
 #include "requests/requestsinprogress.h"
 #include "requests/retrypolicy.h"
 #include "requests/stoprule.h"
+#include "rollouts/activerollouts.h"
 #include "routing/router.h"
 #include "targets/targettable.h"
 #include "telemetry/registry.h"
@@ -47,6 +48,7 @@
     http::ConnectionPool &connections;
     RequestScheduler &scheduler;
     requests::RequestsInProgress &requestsInProgress;
+    rollouts::ActiveRollouts &rollouts;
     core::TimerService &timers;
     core::RandomSource random;
     /** Returns this host's current record; responses with addresses omit this host once it is stopping. */
--- a/src/entry/configurationfollower.cpp
+++ b/src/entry/configurationfollower.cpp
@@ -59,6 +59,7 @@
     request.caller = std::move(core::value(caller));
     request.route = route;
     request.service = service;
+    request.version = m_dependencies.router.chooseVersion(service->name);
     request.waiting.follow(route->latencyObjective, idempotent);
     const bool needsRequestKey = route->idempotency == configuration::Idempotency::ByMethod;
     if (needsRequestKey && !idempotent && exchange.header(service->requestKeyHeader).empty()) {
--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -96,6 +96,18 @@
         });
 }
 
+void ControlFeedClient::reportCounts(const std::vector<rollouts::HostCounts> &counts)
+{
+    rpc::ReportRequest request;
+    request.set_host(m_dependencies.self().id.str());
+    for (const auto &each : counts) {
+        rpc::encode(each, *request.add_version_counts());
+    }
+    m_dependencies.onMessage(
+        telemetry::ControlMessage::ReportRequest, telemetry::Direction::Out, request.ByteSizeLong());
+    client()->report(request, ReportTimeout, [](const core::Result<rpc::ReportReply> &) {});
+}
+
 void ControlFeedClient::poll()
 {
     if (m_stopped) {
--- a/src/entry/controlfeedclient.h
+++ b/src/entry/controlfeedclient.h
@@ -9,6 +9,7 @@
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "entry/clusterview.h"
+#include "rollouts/counttable.h"
 #include "rpc/controlclient.h"
 #include "targets/targettable.h"
 #include "telemetry/metrics.h"
@@ -65,6 +66,9 @@
     /** Reports @p target's announcement to the control host; repeated until a report arrives. */
     void report(const targets::Target &target);
 
+    /** Reports @p counts once: later ones contain them. */
+    void reportCounts(const std::vector<rollouts::HostCounts> &counts);
+
 private:
     struct ControlHostEntry {
         std::string address;
--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -4,8 +4,10 @@
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "entry/controlfeedclient.h"
+#include "entry/countreporter.h"
 #include "entry/quotaclient.h"
 #include "requests/hedgepolicy.h"
+#include "rollouts/activerollouts.h"
 #include "routing/coldtargetlimiter.h"
 #include "routing/requestpacer.h"
 #include "telemetry/exposition.h"
@@ -50,6 +52,7 @@
     explicit Impl(const EntrySettings &settings)
         : m_settings(settings)
         , m_incarnation(makeIncarnation())
+        , m_rollouts(settings.id, m_incarnation)
         , m_coldTargetLimiter({settings.id, m_incarnation, settings.domain})
         , m_requestPacer(settings.id)
         , m_router(settings.domain, routerHooks())
@@ -58,6 +61,11 @@
         })
         , m_pool(settings.workers)
         , m_timers(m_pool.context())
+        , m_countReporter(m_timers,
+                          m_rollouts,
+                          [this](const auto &counts) {
+                              m_feedClient->reportCounts(counts);
+                          })
         , m_connections(m_pool.context())
         , m_scheduler(m_timers)
         , m_retryBudgets(settings.maxUnspentRetries ? std::function<double()>([this]() {
@@ -83,6 +91,7 @@
                                               },
                                               [this]() {
                                                   divideTargets();
+                                                  m_rollouts.setCurrentUntil(m_view.currentUntil());
                                               },
                                               messageHook()},
               settings.controlAddresses))
@@ -139,6 +148,7 @@
     {
         m_stopped = true;
         m_periodicTimer.cancel();
+        m_countReporter.stop();
         m_feedClient->stop();
         m_quotaClient->stop();
         for (const auto &server : m_platformServers) {
@@ -182,6 +192,7 @@
                                                            m_connections,
                                                            m_scheduler,
                                                            m_requestsInProgress,
+                                                           m_rollouts,
                                                            m_timers,
                                                            threadRandom(),
                                                            [this]() {
@@ -266,6 +277,9 @@
         hooks.requestPace = [this](const targets::Target &target, double limit) {
             return m_requestPacer.paceFor(target, limit);
         };
+        hooks.versionShare = [this](const core::ServiceName &service) {
+            return m_rollouts.shareOf(service, core::steadyNow());
+        };
         return hooks;
     }
 
@@ -345,6 +359,8 @@
     /** Configures the queue and the router with a new active configuration before requests use it. */
     void applyConfiguration(const changes::ActiveConfiguration &active)
     {
+        m_rollouts.follow(active.rollouts);
+        m_countReporter.update();
         m_scheduler.configure(*active.configuration);
         m_hedgePolicy.configure(*active.configuration);
         m_router.setDomainsOutOfService(domainsOutOfService(active));
@@ -455,6 +471,7 @@
     telemetry::Registry m_metrics;
     telemetry::RevisionAgeTracker m_revisionAge;
     ClusterView m_view;
+    rollouts::ActiveRollouts m_rollouts;
     routing::ColdTargetLimiter m_coldTargetLimiter;
     routing::RequestPacer m_requestPacer;
     routing::Router m_router;
@@ -463,6 +480,7 @@
     requests::RequestsInProgress m_requestsInProgress;
     core::WorkerPool m_pool;
     core::TimerService m_timers;
+    CountReporter m_countReporter;
     http::ConnectionPool m_connections;
     RequestScheduler m_scheduler;
     requests::RetryBudgets m_retryBudgets;
--- a/src/entry/relaystep.cpp
+++ b/src/entry/relaystep.cpp
@@ -70,11 +70,31 @@
                     const http::RelayResult &result) const
 {
     const auto now = m_dependencies.timers.now();
-    m_dependencies.router.release(assignment, {attemptOutcome(result), now - started, result.signals}, now);
+    const auto outcome = attemptOutcome(result);
+    m_dependencies.router.release(assignment, {outcome, now - started, result.signals}, now);
+    const bool hasFailed = outcome == routing::AttemptOutcome::Failed;
+    if (hasFailed || outcome == routing::AttemptOutcome::Answered || result.isSuperseded) {
+        // The response of a superseded attempt would have taken longer, so its time still shows a slow version.
+        const auto duration = result.isSuperseded ? now - started : result.headWaitTime;
+        recordVersion(request, *assignment.target, hasFailed, duration);
+    }
     m_dependencies.scheduler.notifyCapacity(request.service->name);
     if (result.outcome.failure && !result.isSuperseded) {
         m_log.logFailure(request, *assignment.target, result);
     }
 }
 
+void RelayStep::recordVersion(const ActiveRequest &request,
+                              const targets::Target &target,
+                              bool hasFailed,
+                              core::Duration duration) const
+{
+    const bool isCold = target.condition == targets::Condition::Cold;
+    m_dependencies.rollouts.record({request.service->name,
+                                    request.route->name,
+                                    target.softwareVersion,
+                                    hasFailed,
+                                    isCold ? std::nullopt : std::optional(duration)});
+}
+
 } // namespace pimentoshed::entry
--- a/src/entry/relaystep.h
+++ b/src/entry/relaystep.h
@@ -27,6 +27,12 @@
              const http::RelayResult &result) const;
 
 private:
+    /** Counts a response, or the lack of one, for a rollout of the service in progress. */
+    void recordVersion(const ActiveRequest &request,
+                       const targets::Target &target,
+                       bool hasFailed,
+                       core::Duration duration) const;
+
     const CallerHandlerDependencies &m_dependencies;
     const RequestLog &m_log;
 };
--- a/src/entry/targetassignment.cpp
+++ b/src/entry/targetassignment.cpp
@@ -214,6 +214,9 @@
 {
     routing::AssignOptions options;
     options.objective = request.waiting.timeLeft(found.usualProcessingTime, found.now);
+    if (request.version) {
+        options.softwareVersion = request.version->filter();
+    }
     return options;
 }
 
