--- a/src/cli/operatorcommands.cpp
+++ b/src/cli/operatorcommands.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -26,6 +27,9 @@
     std::string file;
     std::string domain;
     std::string changeId;
+    std::string service;
+    std::string softwareVersion;
+    std::uint64_t overMs = 0;
 };
 
 std::optional<std::string> readFile(const std::string &path)
@@ -170,6 +174,40 @@
     });
 }
 
+ExitCode startRollout(const OperatorFlags &flags)
+{
+    http::ClientRequest request;
+    request.method = "POST";
+    request.target = fmt::format(
+        "/pimentoshed/v1/rollouts/{}?version={}&over_ms={}", flags.service, flags.softwareVersion, flags.overMs);
+    request.headers.emplace_back("Change-Id", changeIdOf(flags));
+    return sendAndPrint(flags.address, request);
+}
+
+void addRolloutCommands(CLI::App &app, ExitCode &exitCode)
+{
+    auto *rollout = app.add_subcommand("rollout", "Moves a service's requests to another version of its targets");
+    rollout->require_subcommand(1);
+    const auto flags = std::make_shared<OperatorFlags>();
+    auto *start = addCommand(*rollout, "start", "Starts a rollout", flags);
+    start->add_option("service", flags->service, "The service")->required();
+    start->add_option("version", flags->softwareVersion, "The software version to move to")->required();
+    start->add_option("--over", flags->overMs, "Time within which it should be complete, such as 60s")
+        ->transform(CLI::AsNumberWithUnit(std::map<std::string, std::uint64_t>{{"ms", 1}, {"s", 1000}, {"min", 60000}}))
+        ->required();
+    start->add_option("--change-id", flags->changeId, "Id of the change; give the same id to resend it");
+    start->callback([flags, &exitCode]() {
+        exitCode = startRollout(*flags);
+    });
+    const auto stateFlags = std::make_shared<OperatorFlags>();
+    auto *state = addCommand(*rollout, "state", "Prints the newest rollout of a service", stateFlags);
+    state->add_option("service", stateFlags->service, "The service")->required();
+    state->callback([stateFlags, &exitCode]() {
+        exitCode =
+            sendAndPrint(stateFlags->address, {"GET", "/pimentoshed/v1/rollouts/" + stateFlags->service, {}, {}});
+    });
+}
+
 } // namespace
 
 void addOperatorCommands(CLI::App &app, ExitCode &exitCode)
@@ -177,6 +215,7 @@
     addFileCommands(app, exitCode);
     addDomainCommand(app, "take-out", "Takes a failure domain out of service", exitCode);
     addDomainCommand(app, "return", "Returns a failure domain to service", exitCode);
+    addRolloutCommands(app, exitCode);
 
     const auto stateFlags = std::make_shared<OperatorFlags>();
     auto *state = addCommand(app, "state", "Dumps the state of one process as JSON", stateFlags);
--- a/src/control/operatorhttphandler.cpp
+++ b/src/control/operatorhttphandler.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint64_t MaxFileBytes = 16U << 20U;
 constexpr std::string_view DomainPrefix = "/pimentoshed/v1/failure-domains/";
+constexpr std::string_view RolloutPrefix = "/pimentoshed/v1/rollouts/";
 
 http::Reply replyTo(const changes::Answer &answer)
 {
@@ -87,6 +88,10 @@
             exchange.send(applyFile(exchange));
         } else if (path.starts_with(DomainPrefix) && exchange.method() == "POST") {
             exchange.send(setDomainAvailability(exchange, path.substr(DomainPrefix.size())));
+        } else if (path.starts_with(RolloutPrefix)) {
+            const core::ServiceName service{std::string(path.substr(RolloutPrefix.size()))};
+            exchange.send(exchange.method() == "POST" ? startRollout(exchange, service)
+                                                      : rolloutReply(exchange, service));
         } else if (path == "/pimentoshed/v1/state") {
             exchange.send(stateReply());
         } else {
@@ -128,6 +133,50 @@
         return submit(exchange, change);
     }
 
+    http::Reply startRollout(http::Exchange &exchange, const core::ServiceName &service) const
+    {
+        const auto over = parseNumber(exchange.queryValue("over_ms"));
+        changes::StartRollout change;
+        change.id = core::ChangeId(std::string(exchange.header("Change-Id")));
+        change.order.service = service;
+        change.order.softwareVersion = std::string(exchange.queryValue("version"));
+        if (change.id.empty() || !over || *over > core::toMilliseconds(rollouts::MaxOver)) {
+            return http::errorReply(status::bad_request,
+                                    {core::ErrorCode::RequestMalformed,
+                                     "expected the header Change-Id, and a version and a number of milliseconds in the "
+                                     "query parameters version and over_ms"});
+        }
+        change.order.over = std::chrono::milliseconds(*over);
+        return replyTo(
+            http::await<changes::Answer>(exchange, [this, &change](std::function<void(changes::Answer)> done) {
+                m_dependencies.startRollout(change, std::move(done));
+            }));
+    }
+
+    http::Reply rolloutReply(http::Exchange &exchange, const core::ServiceName &service) const
+    {
+        const bool isCurrent = http::await<bool>(exchange, [this](std::function<void(bool)> done) {
+            m_dependencies.confirmCurrent(std::move(done));
+        });
+        if (!isCurrent) {
+            return http::errorReply(status::service_unavailable, {core::ErrorCode::NoQuorum, service.str()});
+        }
+        const auto active = m_dependencies.activeConfiguration();
+        const auto found = active->rollouts.find(service);
+        if (found == active->rollouts.end()) {
+            return http::notFound();
+        }
+        const auto &rollout = found->second;
+        return http::jsonReply(status::ok,
+                               {{"service", service.str()},
+                                {"version", rollout.order.softwareVersion},
+                                {"over_ms", core::toMilliseconds(rollout.order.over)},
+                                {"number", rollout.number},
+                                {"state", core::nameOf(rollouts::StateNames, rollout.state)},
+                                {"share", rollout.share()},
+                                {"reason", core::nameOf(rollouts::ReasonNames, rollout.reason)}});
+    }
+
     http::Reply submit(http::Exchange &exchange, const changes::Change &change) const
     {
         const auto answer =
