--- a/tests/http/relay.cpp
+++ b/tests/http/relay.cpp
@@ -404,51 +404,52 @@
     CHECK(reply.status == boost::beast::http::status::unauthorized);
     CHECK(std::count(reply.headers.begin(), reply.headers.end(), http::Header("WWW-Authenticate", "Pimentoshed-Key"))
           == 1);
+}
 
-    TEST_CASE("a silent target's connection is given up only if the caller of the relay agrees, and is not used again")
-    {
-        const bool isGivenUp = GENERATE(true, false);
-        ScriptedTarget target([](RawSocket &socket, unsigned) {
-            socket.readUntil("\r\n\r\n");
-            // Returns once the relay closes the connection.
-            socket.readUntil("\r\n\r\n");
-        });
-        auto options = relayOptions(true, 300);
-        options.silenceLimit = std::chrono::milliseconds(50);
-        unsigned asked = 0;
-        options.onSilence = [&asked, isGivenUp]() {
-            ++asked;
-            return isGivenUp;
-        };
-        RelayServer server(target.address(), options);
-        auto caller = server.caller();
-        caller.write(Get);
-        const auto result = server.nextResult();
-        CHECK(failedWith(result, RunState::Unknown, isGivenUp ? ErrorCode::TargetFailed : ErrorCode::DeadlinePassed));
-        CHECK(result.isSilent);
-        CHECK(asked == 1);
-        CHECK(server.idleConnections() == 0);
-    }
+TEST_CASE("a silent target's connection is given up only if the caller of the relay agrees, and is not used again")
+{
+    const bool isGivenUp = GENERATE(true, false);
+    ScriptedTarget target([](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        // Returns once the relay closes the connection.
+        socket.readUntil("\r\n\r\n");
+    });
+    auto options = relayOptions(true, 300);
+    options.silenceLimit = std::chrono::milliseconds(50);
+    unsigned asked = 0;
+    options.onSilence = [&asked, isGivenUp]() {
+        ++asked;
+        return isGivenUp;
+    };
+    RelayServer server(target.address(), options);
+    auto caller = server.caller();
+    caller.write(Get);
+    const auto result = server.nextResult();
+    CHECK(failedWith(result, RunState::Unknown, isGivenUp ? ErrorCode::TargetFailed : ErrorCode::DeadlinePassed));
+    CHECK(result.isSilent);
+    CHECK(asked == 1);
+    CHECK(server.idleConnections() == 0);
+}
 
-    TEST_CASE("a target that has sent a part of its response is not silent")
-    {
-        ScriptedTarget target([](RawSocket &socket, unsigned) {
-            socket.readUntil("\r\n\r\n");
-            socket.write("HTTP/1.1 200 OK\r\nContent-");
-            socket.readUntil("\r\n\r\n");
-        });
-        auto options = relayOptions(true, 200);
-        options.silenceLimit = std::chrono::milliseconds(80);
-        bool isAsked = false;
-        options.onSilence = [&isAsked]() {
-            isAsked = true;
-            return true;
-        };
-        RelayServer server(target.address(), options);
-        auto caller = server.caller();
-        caller.write(Get);
-        const auto result = server.nextResult();
-        CHECK(failedWith(result, RunState::Unknown, ErrorCode::DeadlinePassed));
-        CHECK_FALSE(result.isSilent);
-        CHECK_FALSE(isAsked);
-    }
+TEST_CASE("a target that has sent a part of its response is not silent")
+{
+    ScriptedTarget target([](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.write("HTTP/1.1 200 OK\r\nContent-");
+        socket.readUntil("\r\n\r\n");
+    });
+    auto options = relayOptions(true, 200);
+    options.silenceLimit = std::chrono::milliseconds(80);
+    bool isAsked = false;
+    options.onSilence = [&isAsked]() {
+        isAsked = true;
+        return true;
+    };
+    RelayServer server(target.address(), options);
+    auto caller = server.caller();
+    caller.write(Get);
+    const auto result = server.nextResult();
+    CHECK(failedWith(result, RunState::Unknown, ErrorCode::DeadlinePassed));
+    CHECK_FALSE(result.isSilent);
+    CHECK_FALSE(isAsked);
+}
