Judge a service with many routes as a whole, and not a route that always fails

A step now needs the evidence of all routes together and that of each route with a tenth of the responses; a smaller one must not lean towards worse. Routes where the old versions fail more than four fifths of the requests aren't judged, nor those with fewer than ten responses of them.

--- a/src/control/rolloutcoordinator.cpp
+++ b/src/control/rolloutcoordinator.cpp
@@ -45,13 +45,14 @@
 std::string describe(const rollouts::SequentialTest &test)
 {
     std::string text;
-    for (const auto &[name, route] : test.routes()) {
+    for (const auto &entry : test.routes()) {
+        const auto &route = entry.second;
         const auto counts = [&route](const rollouts::Counts &any) {
             return fmt::format("{}/{}/{}", any.responses, any.failures, any.timedFrom(route.slowBucket));
         };
         text += fmt::format("{}{}: new {}, old {}, evidence {:.1f}/{:.1f}, recent {:.1f}/{:.1f}",
                             text.empty() ? "" : "; ",
-                            name.str(),
+                            entry.first.str(),
                             counts(route.counted.newVersion),
                             counts(route.counted.oldVersions),
                             route.failures.total,
--- a/src/rollouts/sequentialtest.cpp
+++ b/src/rollouts/sequentialtest.cpp
@@ -17,9 +17,11 @@
 constexpr double FalseAlarmRate = 1e-4;
 /** Recent evidence above ln of this stops a rollout from going on, and takes a version back when its time is up. */
 constexpr double SuspicionRatio = 10;
-/** Bounds of the old versions' share of bad responses: nothing never fails, and a service that fails can't be judged.
- */
+/** Least share of bad responses to assume of the old versions: nothing never fails. */
 constexpr double MinUsual = 0.01;
+/** With fewer responses of the old versions there is nothing to compare with. */
+constexpr std::uint64_t MinReference = 10;
+/** Where more of the old versions' responses are bad, nothing can be told about the new one. */
 constexpr double MaxUsual = 0.8;
 /**
  * Responses of the old versions that the comparisons cover: enough for a share of one in a hundred, for what both
@@ -30,14 +32,17 @@
 constexpr std::size_t SlowBucketsAboveMedian = 3;
 /** Highest share of the old versions' responses that counts as slow. */
 constexpr double MaxUsuallySlow = 0.05;
-/** A route with a smaller share of the responses needs no evidence of its own, or less of it. */
-constexpr double MinRouteShare = 0.02;
-constexpr double MainRouteShare = 0.05;
+/** Evidence of a route above ln of this leans towards "worse": the first is for routes with few responses. */
+constexpr double WeakLeanRatio = 3;
+constexpr double LeanRatio = 1;
+constexpr std::uint64_t FewResponses = 8;
+/** A route with a smaller share of the responses needs no evidence of its own, but must not seem worse. */
+constexpr double MainRouteShare = 0.1;
 
 double usualShare(std::uint64_t bad, std::uint64_t responses)
 {
     const auto share = static_cast<double>(bad) / static_cast<double>(std::max<std::uint64_t>(1, responses));
-    return std::clamp(share, MinUsual, MaxUsual);
+    return std::max(share, MinUsual);
 }
 
 /** Reduces @p reference to about @p limit responses, so that later ones outweigh earlier ones. */
@@ -74,6 +79,20 @@
     return std::min(bucket, DurationBuckets);
 }
 
+double leanLimit(const Evidence &evidence)
+{
+    return std::log(evidence.responses < FewResponses ? WeakLeanRatio : LeanRatio);
+}
+
+/** Whether the evidence about a route allows to go on, if all routes together need @p limit. */
+bool isRouteAccepted(const Evidence &evidence, double limit, bool isMain)
+{
+    if (evidence.responses == 0) {
+        return true;
+    }
+    return evidence.total <= (isMain ? limit : leanLimit(evidence));
+}
+
 /** Returns the largest share of bad responses among the references of @p route. */
 template<typename Share>
 double largestShare(const RouteEvidence &route, const Share &shareOf)
@@ -97,9 +116,7 @@
     }
     const auto &responses = added.newVersion;
     const auto &usual = route.references.front();
-    if (usual.responses == 0) {
-        // Nothing to compare with yet: a version that is alone must not fail.
-        route.failures.add(responses.responses, responses.failures, MinUsual);
+    if (usual.responses < MinReference) {
         return;
     }
     const auto failing = largestShare(route, [](const Counts &counts) {
@@ -118,12 +135,16 @@
 
 } // namespace
 
-void Evidence::add(std::uint64_t responses, std::uint64_t bad, double usual)
+void Evidence::add(std::uint64_t added, std::uint64_t bad, double usual)
 {
+    if (usual > MaxUsual) {
+        return;
+    }
     const double good = usual + Tolerance * (1 - usual);
     const double worse = usual + Damage * (1 - usual);
     const double ratio = static_cast<double>(bad) * std::log(worse / good)
-                         + static_cast<double>(responses - bad) * std::log((1 - worse) / (1 - good));
+                         + static_cast<double>(added - bad) * std::log((1 - worse) / (1 - good));
+    responses += added;
     total += ratio;
     recent = std::max(0.0, recent + ratio);
 }
@@ -159,8 +180,11 @@
     }
     // Too few responses to decide, but what there is speaks against the version.
     for (const auto &[name, route] : m_routes) {
-        if (route.failures.total > 0 || route.durations.total > 0) {
-            return route.failures.total > 0 ? Reason::Failures : Reason::Durations;
+        if (route.failures.total > leanLimit(route.failures)) {
+            return Reason::Failures;
+        }
+        if (route.durations.total > leanLimit(route.durations)) {
+            return Reason::Durations;
         }
     }
     return Reason::None;
@@ -174,22 +198,22 @@
     if (strongest(std::log(SuspicionRatio)) != Reason::None) {
         return false;
     }
+    const double limit = std::log(missRate);
     const auto all = static_cast<double>(newVersion().responses + oldVersions().responses);
-    bool hasEvidence = false;
+    double failures = 0;
+    double durations = 0;
+    bool isTimed = false;
     for (const auto &[name, route] : m_routes) {
-        const auto share =
-            static_cast<double>(route.counted.newVersion.responses + route.counted.oldVersions.responses) / all;
-        if (share < MinRouteShare) {
-            continue;
-        }
-        hasEvidence = true;
-        const double limit = std::log(share < MainRouteShare ? std::sqrt(missRate) : missRate);
-        const bool isTimed = route.slowBucket < DurationBuckets;
-        if (route.failures.total > limit || (isTimed && route.durations.total > limit)) {
+        const auto responses = route.counted.newVersion.responses + route.counted.oldVersions.responses;
+        const bool isMain = static_cast<double>(responses) >= MainRouteShare * all;
+        if (!isRouteAccepted(route.failures, limit, isMain) || !isRouteAccepted(route.durations, limit, isMain)) {
             return false;
         }
+        failures += route.failures.total;
+        durations += route.durations.total;
+        isTimed = isTimed || route.durations.responses > 0;
     }
-    return hasEvidence;
+    return failures <= limit && (!isTimed || durations <= limit);
 }
 
 const std::map<core::RouteName, RouteEvidence> &SequentialTest::routes() const
--- a/src/rollouts/sequentialtest.h
+++ b/src/rollouts/sequentialtest.h
@@ -15,13 +15,15 @@
 
 /** The log-likelihood ratio of "worse" to "as good" for one quantity of one route. */
 struct Evidence {
+    /** Responses that could be compared. */
+    std::uint64_t responses = 0;
     /** Over all responses: falls while the version is good. */
     double total = 0;
     /** The cumulative sum of the same ratio that never falls below zero: rises while the version is bad. */
     double recent = 0;
 
-    /** Adds @p responses of which @p bad are bad, where a share @p usual of those of the old versions is. */
-    void add(std::uint64_t responses, std::uint64_t bad, double usual);
+    /** Adds @p added responses of which @p bad are bad, where a share @p usual of those of the old versions is. */
+    void add(std::uint64_t added, std::uint64_t bad, double usual);
 };
 
 /** The evidence about one route. */
