Keep second attempts within the token of their request

A second attempt beside a slow first one asked only the retry budget, so it could be sent after the token that its request had taken from the quota of its workspace had ended. RequestQuota::isCovered() says whether that token may still be used, and HedgedRelay makes no second attempt otherwise. The part of the retries that may be hedges on the users' platform is checked too.

On this commit only the changed files were compiled; its tests were not run.

--- a/src/entry/callerhttphandler.cpp
+++ b/src/entry/callerhttphandler.cpp
@@ -136,7 +136,7 @@
     const Refusals m_refusals{m_dependencies};
     const RequestLog m_log{m_dependencies};
     const RelayStep m_step{m_dependencies, m_log};
-    const HedgedRelay m_relay{m_dependencies, m_assignment, m_step, m_log};
+    const HedgedRelay m_relay{m_dependencies, m_assignment, m_quota, m_step, m_log};
     const Attempts m_attempts{m_dependencies, m_assignment, m_quota, m_relay, m_refusals, m_log};
 };
 
--- a/src/entry/hedgedrelay.cpp
+++ b/src/entry/hedgedrelay.cpp
@@ -29,10 +29,12 @@
 
 HedgedRelay::HedgedRelay(const CallerHandlerDependencies &dependencies,
                          const TargetAssignment &assignment,
+                         const RequestQuota &quota,
                          const RelayStep &step,
                          const RequestLog &log)
     : m_dependencies(dependencies)
     , m_assignment(assignment)
+    , m_quota(quota)
     , m_step(step)
     , m_log(log)
 {
@@ -106,7 +108,8 @@
                                                        const http::Yield &yield) const
 {
     const auto &hooks = m_dependencies.hedging;
-    if (!hooks.mayHedge(candidate(request))) {
+    // Both attempts are one request for the quota of its workspace, as long as its token may be used.
+    if (!m_quota.isCovered(request) || !hooks.mayHedge(candidate(request))) {
         return std::nullopt;
     }
     auto assigned = m_assignment.assignSpare(request, first.assignment.target->id, yield);
--- a/src/entry/hedgedrelay.h
+++ b/src/entry/hedgedrelay.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "entry/relaystep.h"
+#include "entry/requestquota.h"
 #include "http/relayrace.h"
 
 #include <functional>
@@ -29,6 +30,7 @@
 public:
     HedgedRelay(const CallerHandlerDependencies &dependencies,
                 const TargetAssignment &assignment,
+                const RequestQuota &quota,
                 const RelayStep &step,
                 const RequestLog &log);
 
@@ -63,6 +65,7 @@
 
     const CallerHandlerDependencies &m_dependencies;
     const TargetAssignment &m_assignment;
+    const RequestQuota &m_quota;
     const RelayStep &m_step;
     const RequestLog &m_log;
 };
--- a/src/entry/requestquota.cpp
+++ b/src/entry/requestquota.cpp
@@ -32,10 +32,10 @@
 
 core::Status RequestQuota::take(ActiveRequest &request) const
 {
-    const auto workspace = request.caller.workspace;
-    if (!workspace || workspace->requestsPerSecond <= 0 || hasValidToken(request)) {
+    if (isCovered(request)) {
         return std::monostate{};
     }
+    const auto workspace = request.caller.workspace;
     const auto decision =
         http::await<quotas::Decision>(request.exchange, [&](const std::function<void(quotas::Decision)> &callback) {
             m_spend(*workspace, latestDecision(request), callback);
@@ -62,11 +62,14 @@
     }
 }
 
-bool RequestQuota::hasValidToken(const ActiveRequest &request) const
+bool RequestQuota::isCovered(const ActiveRequest &request) const
 {
+    const auto &workspace = request.caller.workspace;
+    if (!workspace || workspace->requestsPerSecond <= 0) {
+        return true;
+    }
     const auto &token = request.quotaToken;
-    return token && token->workspace->name == request.caller.workspace->name
-           && m_timers.now() < token->token.validUntil;
+    return token && token->workspace->name == workspace->name && m_timers.now() < token->token.validUntil;
 }
 
 core::TimePoint RequestQuota::latestDecision(const ActiveRequest &request) const
--- a/src/entry/requestquota.h
+++ b/src/entry/requestquota.h
@@ -23,11 +23,13 @@
      */
     core::Status take(ActiveRequest &request) const;
 
+    /** Whether @p request may be sent now without another token. */
+    bool isCovered(const ActiveRequest &request) const;
+
     /** Gives back the token of a request that did not run and will not be sent again. */
     void giveBack(ActiveRequest &request) const;
 
 private:
-    bool hasValidToken(const ActiveRequest &request) const;
     core::TimePoint latestDecision(const ActiveRequest &request) const;
 
     const core::TimerService &m_timers;
--- a/tests/entry/requestquota.cpp
+++ b/tests/entry/requestquota.cpp
@@ -143,3 +143,18 @@
         CHECK(spent == 0);
     });
 }
+
+TEST_CASE_METHOD(Fixture,
+                 "A request is covered while its token is valid, or if its workspace is not limited",
+                 "[quotas]")
+{
+    run([this](ActiveRequest &request) {
+        CHECK_FALSE(quota->isCovered(request));
+        CHECK(core::ok(quota->take(request)));
+        CHECK(quota->isCovered(request));
+        request.quotaToken->token.validUntil = now();
+        CHECK_FALSE(quota->isCovered(request));
+        workspace->requestsPerSecond = 0;
+        CHECK(quota->isCovered(request));
+    });
+}
--- a/tests/platform/configurationfile.cpp
+++ b/tests/platform/configurationfile.cpp
@@ -76,6 +76,7 @@
     REQUIRE(one != nullptr);
     CHECK(one->coldRequestsPerSecond == 21.0);
     CHECK(one->retryRatio == 0.2);
+    CHECK(one->hedgeRatio == 0.05);
     CHECK(one->maxRequestBytes == 1024);
 }
 
