--- a/bench/workspaces/keytable.cpp
+++ b/bench/workspaces/keytable.cpp
@@ -40,7 +40,7 @@
 void digestKey(benchmark::State &state)
 {
     const auto key = keyName(0, 0);
-    for (auto unused : state) {
+    while (state.KeepRunning()) {
         benchmark::DoNotOptimize(configuration::digestOfKey(key));
     }
 }
@@ -51,7 +51,7 @@
     const auto configuration = makeConfiguration(state.range(0));
     const workspaces::KeyTable table(configuration);
     std::size_t next = 0;
-    for (auto unused : state) {
+    while (state.KeepRunning()) {
         const auto &workspace = configuration->workspaces[next % configuration->workspaces.size()];
         benchmark::DoNotOptimize(table.find(workspace.keys[next % KeysPerWorkspace]));
         // Steps through the workspaces in an order that no cache line foresees.
@@ -70,7 +70,7 @@
         }
         text += "]\nrequests_per_second = 2.5\nburst = 5\n";
     }
-    for (auto unused : state) {
+    while (state.KeepRunning()) {
         const auto parsed = configuration::parse(text);
         if (!std::holds_alternative<configuration::Configuration>(parsed)) {
             state.SkipWithError("the file is not valid");
@@ -84,7 +84,7 @@
 void buildTable(benchmark::State &state)
 {
     const auto configuration = makeConfiguration(state.range(0));
-    for (auto unused : state) {
+    while (state.KeepRunning()) {
         const workspaces::KeyTable table(configuration);
         benchmark::DoNotOptimize(&table);
     }
