Wait for a silent target instead of giving it up

Callers would have seen: an idempotent request at a target that is at work, but silent, ends with a failure when no other target takes it, for instance at a stopping host.

Cause: an attempt was given up for a retry before another target was found. Evidence: the process test of a stop limit that ends with a request in progress failed; its host refused the request after the give-up and exited with 0.

A second attempt beside the first one does the same for idempotent requests without ending the first, so the give-up goes. A target is still learnt to be silent, at the deadline or when the other attempt wins after the limit. The process test and the tests of the relay pass.

--- a/src/entry/activerequest.h
+++ b/src/entry/activerequest.h
@@ -59,8 +59,6 @@
     std::vector<core::TargetId> triedTargets{};
     /** Number of attempts that sent the complete head of the request. */
     unsigned attemptsSent = 0;
-    /** Whether the retry budget has granted the next attempt already. */
-    bool isRetryGranted = false;
     requests::RequestOutcome outcome{};
     /** None if the request's workspace is not limited, and before it is known to be within its quota. */
     std::optional<QuotaToken> quotaToken{};
--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -72,10 +72,7 @@
             endWithoutTarget(request, core::error(quota), completed);
             return;
         }
-        request.isRetryGranted = false;
-        const auto ended = m_relay.run(request, std::move(target), [this, &request]() {
-            return grantRetry(request);
-        });
+        const auto ended = m_relay.run(request, std::move(target));
         const auto &result = ended.back().result;
         completed.targetWait = result.headWaitTime;
         completed.silentAttempts +=
@@ -127,18 +124,6 @@
     m_dependencies.scheduler.notifyCapacity(request.service->name);
 }
 
-bool Attempts::grantRetry(ActiveRequest &request) const
-{
-    if (!request.exchange.body().canRewind() || request.triedTargets.size() + 1 >= MaxTriedTargets) {
-        return false;
-    }
-    auto failed = latestAttempt(request, m_dependencies.timers.now());
-    failed.runState = RunState::Unknown;
-    ++failed.attempts;
-    request.isRetryGranted = m_dependencies.mayRetry(failed);
-    return request.isRetryGranted;
-}
-
 bool Attempts::mayRetry(const ActiveRequest &request, const std::vector<EndedAttempt> &ended) const
 {
     const bool canResendAll = std::all_of(ended.begin(), ended.end(), [](const auto &each) {
@@ -148,9 +133,6 @@
         return false;
     }
     const auto failed = latestAttempt(request, m_dependencies.timers.now());
-    if (request.isRetryGranted) {
-        return requests::canRetry(failed);
-    }
     // If no target has received the request, another attempt isn't a retry for them: no retry budget is used.
     return request.attemptsSent == 0 ? requests::canRetry(failed) : m_dependencies.mayRetry(failed);
 }
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -34,11 +34,6 @@
                           telemetry::CompletedRequest &completed) const;
     /** Frees a target that was assigned to a request that is not sent. */
     void release(const ActiveRequest &request, AssignedTarget &assigned) const;
-    /**
-     * Whether an attempt at a silent target should be given up for another one: the request may run again, and the
-     * retry budget allows it. If so, mayRetry() takes no further retry from the budget.
-     */
-    bool grantRetry(ActiveRequest &request) const;
     bool mayRetry(const ActiveRequest &request, const std::vector<EndedAttempt> &ended) const;
     void refuseOrClose(const ActiveRequest &request, const std::vector<EndedAttempt> &ended) const;
 
--- a/src/entry/hedgedrelay.cpp
+++ b/src/entry/hedgedrelay.cpp
@@ -40,21 +40,17 @@
 {
 }
 
-std::vector<EndedAttempt> HedgedRelay::run(ActiveRequest &request,
-                                           AssignedTarget assigned,
-                                           const MayGiveUpHook &mayGiveUp) const
+std::vector<EndedAttempt> HedgedRelay::run(ActiveRequest &request, AssignedTarget assigned) const
 {
     const auto &hooks = m_dependencies.hedging;
     request.row->sendTo(assigned.assignment.target->id, request.service->name, m_dependencies.timers.now());
     const auto delay = hooks.delay && http::canRace(request.exchange) ? hooks.delay(candidate(request)) : std::nullopt;
     std::vector<EndedAttempt> ended;
     if (delay) {
-        ended = race(request, std::move(assigned), *delay, mayGiveUp);
+        ended = race(request, std::move(assigned), *delay);
     } else {
         const Sent sent{assigned.assignment, m_dependencies.timers.now()};
-        auto options = m_step.options(request, *sent.assignment.target, request.attemptsSent);
-        options.silenceLimit = sent.assignment.silenceLimit;
-        options.onSilence = mayGiveUp;
+        const auto options = m_step.options(request, *sent.assignment.target, request.attemptsSent);
         auto &pool = m_dependencies.connections;
         auto result = assigned.connection
                           ? http::relayOn(std::move(assigned.connection), request.exchange, pool, options)
@@ -66,10 +62,7 @@
     return ended;
 }
 
-std::vector<EndedAttempt> HedgedRelay::race(ActiveRequest &request,
-                                            AssignedTarget assigned,
-                                            core::Duration delay,
-                                            const MayGiveUpHook &mayGiveUp) const
+std::vector<EndedAttempt> HedgedRelay::race(ActiveRequest &request, AssignedTarget assigned, core::Duration delay) const
 {
     const Sent first{assigned.assignment, m_dependencies.timers.now()};
     std::optional<Sent> second;
@@ -82,11 +75,6 @@
         entrant == http::Entrant::First ? endFirst(request, first, result) : endSecond(request, *second, result);
     };
     auto options = m_step.options(request, *first.assignment.target, request.attemptsSent);
-    options.silenceLimit = first.assignment.silenceLimit;
-    // A second attempt replaces giving the first one up.
-    options.onSilence = [&second, &mayGiveUp]() {
-        return !second && mayGiveUp();
-    };
     auto result = http::relayRace(
         request.exchange, m_dependencies.connections, {std::move(options), std::move(assigned.connection)}, hooks);
     std::vector<EndedAttempt> ended;
--- a/src/entry/hedgedrelay.h
+++ b/src/entry/hedgedrelay.h
@@ -8,7 +8,6 @@
 #include "entry/requestquota.h"
 #include "http/relayrace.h"
 
-#include <functional>
 #include <optional>
 #include <vector>
 
@@ -21,9 +20,6 @@
     http::RelayResult result;
 };
 
-/** Returns whether an attempt at a silent target is given up. */
-using MayGiveUpHook = std::function<bool()>;
-
 /** Makes one attempt, or two at the same time. The hooks in CallerHandlerDependencies::hedging decide on the second. */
 class HedgedRelay
 {
@@ -34,13 +30,8 @@
                 const RelayStep &step,
                 const RequestLog &log);
 
-    /**
-     * Returns the attempts that were made, the one that decides about the request last. @p mayGiveUp is asked when the
-     * target has given no sign for unusually long; if true, the attempt ends.
-     */
-    std::vector<EndedAttempt> run(ActiveRequest &request,
-                                  AssignedTarget assigned,
-                                  const MayGiveUpHook &mayGiveUp) const;
+    /** Returns the attempts that were made, the one that decides about the request last. */
+    std::vector<EndedAttempt> run(ActiveRequest &request, AssignedTarget assigned) const;
 
 private:
     /** A target and when the request was sent there. */
@@ -49,10 +40,7 @@
         core::TimePoint start{};
     };
 
-    std::vector<EndedAttempt> race(ActiveRequest &request,
-                                   AssignedTarget assigned,
-                                   core::Duration delay,
-                                   const MayGiveUpHook &mayGiveUp) const;
+    std::vector<EndedAttempt> race(ActiveRequest &request, AssignedTarget assigned, core::Duration delay) const;
     /** The second attempt, whose target is stored in @p second; nothing if there must be none. */
     std::optional<http::RaceEntry> makeSecond(const ActiveRequest &request,
                                               const Sent &first,
--- a/src/entry/relaystep.cpp
+++ b/src/entry/relaystep.cpp
@@ -8,10 +8,13 @@
 namespace
 {
 
-routing::AttemptOutcome attemptOutcome(const http::RelayResult &result)
+routing::AttemptOutcome attemptOutcome(const routing::Assignment &assignment,
+                                       core::Duration duration,
+                                       const http::RelayResult &result)
 {
     if (result.isSuperseded) {
-        return routing::AttemptOutcome::Cancelled;
+        const bool isSilent = result.isSilent && assignment.silenceLimit && duration >= *assignment.silenceLimit;
+        return isSilent ? routing::AttemptOutcome::Silent : routing::AttemptOutcome::Cancelled;
     }
     if (result.stage == requests::AttemptStage::NotConnected && result.outcome.failure
         && result.outcome.failure->code == ErrorCode::TargetFailed) {
@@ -70,7 +73,7 @@
                     const http::RelayResult &result) const
 {
     const auto now = m_dependencies.timers.now();
-    const auto outcome = attemptOutcome(result);
+    const auto outcome = attemptOutcome(assignment, now - started, result);
     m_dependencies.router.release(assignment, {outcome, now - started, result.signals}, now);
     const bool hasFailed = outcome == routing::AttemptOutcome::Failed;
     if (hasFailed || outcome == routing::AttemptOutcome::Answered || result.isSuperseded) {
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -39,10 +39,6 @@
     core::TargetId target;
     /** The caller's workspace, empty if it has none. Unset in a configuration without workspaces. */
     std::optional<core::WorkspaceName> workspace;
-    /** If set, onSilence is asked once when no byte of a response has come this long after the request was sent. */
-    std::optional<core::Duration> silenceLimit{};
-    /** Returns whether to give the attempt up, and its connection. */
-    std::function<bool()> onSilence{};
     /** Must outlive the attempt. If null, defaultProtocolHooks() are used. */
     const ProtocolHooks *protocolHooks = nullptr;
     MinimumRate minimumRate;
@@ -64,7 +60,7 @@
     std::optional<routing::TargetSignals> signals;
     /** Whether the response has a 5xx status, unless that means that the request was not run. */
     bool serverError = false;
-    /** Whether the attempt was given up, or its deadline passed, before any byte of a response came. */
+    /** Whether the deadline passed, or another attempt won, before any byte of a response came to the sent request. */
     bool isSilent = false;
     /** Time spent waiting for the head of the response after the request's head was sent. */
     core::Duration headWaitTime{};
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -63,10 +63,6 @@
                  [this]() {
                      abort(ErrorCode::DeadlinePassed, {});
                  })
-    , m_silenceWatchdog(m_caller.get_executor(),
-                        [this]() {
-                            endSilence();
-                        })
     , m_readWatchdog(m_caller.get_executor(),
                      [this]() {
                          abort(ErrorCode::CallerTooSlow, "the caller sent its request too slowly");
@@ -102,7 +98,6 @@
         stopUpload();
     }
     m_callerWatch.stop();
-    m_silenceWatchdog.disarm();
     m_deadline.disarm();
     return makeResult();
 }
@@ -312,9 +307,6 @@
 bool RelayAttempt::readAnswerHead()
 {
     constexpr unsigned MaxSkippedHeads = 16;
-    if (m_options.silenceLimit && m_options.onSilence) {
-        m_silenceWatchdog.arm(*m_options.silenceLimit);
-    }
     for (unsigned skippedHeads = 0; skippedHeads <= MaxSkippedHeads; ++skippedHeads) {
         if (!readOneHead()) {
             return false;
@@ -418,16 +410,6 @@
            || m_connection->buffer.size() > 0;
 }
 
-void RelayAttempt::endSilence()
-{
-    if (!m_failure && !hasSign() && m_options.onSilence()) {
-        abort(ErrorCode::TargetFailed,
-              fmt::format("no sign of the target {} ms after the request was sent",
-                          std::chrono::duration_cast<std::chrono::milliseconds>(*m_options.silenceLimit).count()));
-        m_isGivenUp = true;
-    }
-}
-
 bool RelayAttempt::isFinalHead()
 {
     constexpr unsigned FirstFinalStatus = 200;
@@ -548,7 +530,7 @@
     result.signals = m_classification.signals;
     result.serverError = m_serverError;
     const bool hasDeadlinePassed = m_failure && m_failure->code == ErrorCode::DeadlinePassed;
-    result.isSilent = m_isGivenUp || (hasDeadlinePassed && m_stage == AttemptStage::HeadSent && !hasSign());
+    result.isSilent = (hasDeadlinePassed || m_isSuperseded) && m_stage == AttemptStage::HeadSent && !hasSign();
     result.sentToCaller = m_sentToCaller;
     result.bodyConsumed = !m_exchange.body().canRewind();
     result.callerLeft = m_callerLeft;
--- a/src/http/relayattempt.h
+++ b/src/http/relayattempt.h
@@ -89,8 +89,6 @@
     bool readAnswerHead();
     bool readOneHead();
     bool isFinalHead();
-    /** Gives the attempt up if the caller of relay() agrees, unless the target has given a sign. */
-    void endSilence();
     bool hasSign() const;
     /**
      * Whether the response whose head was read belongs to this request. Skips a stray response, and ends the attempt on
@@ -122,8 +120,6 @@
     const SharedCaller *const m_shared;
     /** Aborts the attempt when its deadline passes. */
     Watchdog m_deadline;
-    /** Asks whether to give the attempt up when the target gives no sign. */
-    Watchdog m_silenceWatchdog;
     /** Aborts the attempt when the caller sends its request too slowly. */
     Watchdog m_readWatchdog;
     /** Aborts the attempt when the caller reads its response too slowly. */
@@ -146,7 +142,6 @@
     bool m_stale = false;
     bool m_canReuse = false;
     bool m_serverError = false;
-    bool m_isGivenUp = false;
 };
 
 } // namespace pimentoshed::http
