--- a/src/entry/entryhost.cpp
+++ b/src/entry/entryhost.cpp
@@ -186,36 +186,7 @@
         });
         auto callers = http::Server::Builder(m_pool.context())
                            .address(m_settings.callerListen)
-                           .handler(makeCallerHttpHandler({m_view,
-                                                           m_targets,
-                                                           m_router,
-                                                           m_connections,
-                                                           m_scheduler,
-                                                           m_requestsInProgress,
-                                                           m_rollouts,
-                                                           m_timers,
-                                                           threadRandom(),
-                                                           [this]() {
-                                                               return self();
-                                                           },
-                                                           requests::makeBudgetedRetryHook(m_retryBudgets),
-                                                           hedgeHooks(),
-                                                           [this](const auto &service) {
-                                                               m_retryBudgets.earn(service);
-                                                           },
-                                                           [this](const telemetry::CompletedRequest &end) {
-                                                               m_metrics.countRequest(end);
-                                                           },
-                                                           [this](const core::RouteName &route) {
-                                                               countKeyRefusal(route);
-                                                           },
-                                                           [this]() {
-                                                               return m_stopping ? std::optional(m_stop) : std::nullopt;
-                                                           },
-                                                           spendQuotaHook(),
-                                                           giveBackQuotaHook(),
-                                                           m_settings.marking,
-                                                           m_settings.callerOptions}))
+                           .handler(makeCallerHttpHandler(callerHandlerDependencies()))
                            .start();
         if (!core::ok(callers)) {
             return core::error(callers);
@@ -249,6 +220,40 @@
         return std::monostate{};
     }
 
+    CallerHandlerDependencies callerHandlerDependencies()
+    {
+        return {m_view,
+                m_targets,
+                m_router,
+                m_connections,
+                m_scheduler,
+                m_requestsInProgress,
+                m_rollouts,
+                m_timers,
+                threadRandom(),
+                [this]() {
+                    return self();
+                },
+                requests::makeBudgetedRetryHook(m_retryBudgets),
+                hedgeHooks(),
+                [this](const auto &service) {
+                    m_retryBudgets.earn(service);
+                },
+                [this](const telemetry::CompletedRequest &end) {
+                    m_metrics.countRequest(end);
+                },
+                [this](const core::RouteName &route) {
+                    countKeyRefusal(route);
+                },
+                [this]() {
+                    return m_stopping ? std::optional(m_stop) : std::nullopt;
+                },
+                spendQuotaHook(),
+                giveBackQuotaHook(),
+                m_settings.marking,
+                m_settings.callerOptions};
+    }
+
     quotas::SpendHook spendQuotaHook()
     {
         return [this](const auto &workspace, core::TimePoint latest, const auto &callback) {
