--- a/tests/quotas/schedule.cpp
+++ b/tests/quotas/schedule.cpp
@@ -139,7 +139,7 @@
     askUnevenly(fleet, Hosts, 0, 100);
     fleet.runUntil(30);
     const auto perPeriod = reserve({20, 10});
-    CHECK(fleet.runCount(0) >= 2 * perPeriod);
+    CHECK(fleet.runCount(0) >= std::size_t{2} * perPeriod);
     CHECK(fleet.mostInWindow(0) <= perPeriod);
     CHECK(fleet.verdicts[Verdict::OverQuota] == 0);
     CHECK(fleet.verdicts[Verdict::Unknown] > 0);
