--- a/tests/rollouts/conductor.cpp
+++ b/tests/rollouts/conductor.cpp
@@ -340,8 +340,10 @@
     const Version version = [](core::Duration, double, const core::RouteName &route) {
         return route.str() == "r0" ? Behaviour{1, 0} : Behaviour{};
     };
+    constexpr int RouteCount = 12;
     std::vector<Route> routes;
-    for (int route = 0; route < 12; ++route) {
+    routes.reserve(RouteCount);
+    for (int route = 0; route < RouteCount; ++route) {
         routes.push_back({core::RouteName("r" + std::to_string(route)), perSecond});
     }
     checkComplete([&](std::uint64_t seed) {
--- a/tests/routing/fulltargets.cpp
+++ b/tests/routing/fulltargets.cpp
@@ -183,6 +183,7 @@
         const auto sent = m_now;
         at(m_now + Distance, [this, host, probed, sent]() {
             std::vector<routing::TargetSignals> signals;
+            signals.reserve(probed.size());
             for (const auto &target : probed) {
                 signals.push_back(signalsOf(m_targets[position(*target)]));
             }
@@ -210,6 +211,7 @@
         auto &self = m_hosts[host];
         const auto request = self.waiting.front();
         std::vector<core::TargetId> ids;
+        ids.reserve(probed.size());
         for (const auto &target : probed) {
             ids.push_back(target->id);
         }
