State once when a lease's rest goes back, and look up a service only where a refusal needs it

The rule for returning unused requests of a lease stood twice in LeaseHolder, once to decide on a call and once to make it. A refusal that knows its Retry-After, as those by quota do, still asked the router twice under its locks. Behaviour is the same.

--- a/src/entry/refusals.cpp
+++ b/src/entry/refusals.cpp
@@ -21,13 +21,13 @@
     if (outcome.run == requests::RunState::Ran) {
         outcome.run = requests::RunState::Unknown;
     }
-    std::optional<requests::RefusedService> refused;
-    if (service != nullptr) {
-        const auto now = m_dependencies.timers.now();
-        refused = {.usualProcessingTime = m_dependencies.router.usualProcessingTime(*service),
-                   .pause = m_dependencies.router.pausedUntil(*service, now).value_or(now) - now};
-    }
     if (!retryAfter) {
+        std::optional<requests::RefusedService> refused;
+        if (service != nullptr) {
+            const auto now = m_dependencies.timers.now();
+            refused = {.usualProcessingTime = m_dependencies.router.usualProcessingTime(*service),
+                       .pause = m_dependencies.router.pausedUntil(*service, now).value_or(now) - now};
+        }
         retryAfter = requests::retryAfter(outcome, refused, m_dependencies.random);
     }
     exchange.send(m_dependencies.protocolHooks.makeRefusal({std::move(outcome), retryAfter}));
--- a/src/quotas/leaseholder.cpp
+++ b/src/quotas/leaseholder.cpp
@@ -335,18 +335,19 @@
     }
     dropIdle(now);
     LeaseCall call{m_dependencies.host, m_lastCall + 1, {}, {}};
-    bool isReturnDue = false;
+    bool isAnyReturnDue = false;
     for (auto *active : m_active) {
         auto &account = *active;
         const auto ask = askFor(account, call.number, now);
         if (ask.waiting + ask.ahead > 0) {
             call.asks.push_back(ask);
         }
-        isReturnDue = isReturnDue || std::any_of(account.held.begin(), account.held.end(), [now](const Held &held) {
-                          return held.unused > 0 && held.end > now && held.end - ReturnBefore <= now;
-                      });
+        isAnyReturnDue =
+            isAnyReturnDue || std::any_of(account.held.begin(), account.held.end(), [now](const Held &held) {
+                return isReturnDue(held, now);
+            });
     }
-    if (call.asks.empty() && !isReturnDue) {
+    if (call.asks.empty() && !isAnyReturnDue) {
         return;
     }
     for (auto *account : m_active) {
@@ -377,10 +378,15 @@
     return ask;
 }
 
+bool LeaseHolder::isReturnDue(const Held &held, core::TimePoint now)
+{
+    return held.unused > 0 && held.end > now && held.end - ReturnBefore <= now;
+}
+
 void LeaseHolder::collectReturns(Account &account, core::TimePoint now, std::vector<Return> &returns)
 {
     for (auto &held : account.held) {
-        if (held.unused > 0 && held.end > now && held.end - ReturnBefore <= now) {
+        if (isReturnDue(held, now)) {
             returns.push_back({account.counts.workspace, held.call, held.unused});
             held.requests -= held.unused;
             held.unused = 0;
--- a/src/quotas/leaseholder.h
+++ b/src/quotas/leaseholder.h
@@ -141,6 +141,8 @@
     /** Makes the next call, if there is something to ask or to return. */
     void callIfDue(core::TimePoint now, Actions &actions);
     Ask askFor(Account &account, CallNumber number, core::TimePoint now) const;
+    /** Whether what is unused of a lease goes back now, before the lease ends. */
+    static bool isReturnDue(const Held &held, core::TimePoint now);
     static void collectReturns(Account &account, core::TimePoint now, std::vector<Return> &returns);
     /** Drops the accounts that no request used of late, and that hold and wait for nothing. */
     void dropIdle(core::TimePoint now);
