--- a/src/entry/configurationfollower.cpp
+++ b/src/entry/configurationfollower.cpp
@@ -42,6 +42,7 @@
     const auto &exchange = request.exchange;
     const auto *route = configuration::findRoute(configuration, hostName(exchange), exchange.path());
     if (route == nullptr) {
+        logUnknownRoute(request, *active);
         return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
     }
     auto caller = identifyCaller(request, *active, *route);
@@ -86,12 +87,24 @@
                   "key-refused",
                   {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
                    {"route", route.name.str()},
-                   {"reason", core::error(caller).detail}});
+                   {"reason", core::error(caller).detail},
+                   {"revision", active.revision}});
         m_dependencies.onKeyRefused(route.name);
     }
     return caller;
 }
 
+void ConfigurationFollower::logUnknownRoute(const ActiveRequest &request, const EntryConfiguration &active) const
+{
+    core::log(core::LogLevel::Info,
+              "route-unknown",
+              {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
+               {"host_name", std::string(hostName(request.exchange))},
+               {"path", std::string(request.exchange.path())},
+               {"revision", active.revision},
+               {"current", isCurrent() ? "yes" : "no"}});
+}
+
 bool ConfigurationFollower::isCurrent() const
 {
     return m_dependencies.timers.now() < m_dependencies.view.currentUntil();
--- a/src/entry/configurationfollower.h
+++ b/src/entry/configurationfollower.h
@@ -32,6 +32,7 @@
     core::Result<workspaces::Caller> identifyCaller(const ActiveRequest &request,
                                                     const EntryConfiguration &active,
                                                     const configuration::Route &route) const;
+    void logUnknownRoute(const ActiveRequest &request, const EntryConfiguration &active) const;
     /** Whether this host knows that its configuration is current. */
     bool isCurrent() const;
     /** Picks one of the route's services at random, in proportion to their weights. */
--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -252,8 +252,13 @@
     // Without a configuration file (none has been applied yet) there is nothing to adopt.
     if (adopted.configuration && (!known || known->revision < adopted.revision)) {
         m_dependencies.beforeAdopt(adopted);
-        core::log(
-            core::LogLevel::Info, "standing-adopted", {{"revision", adopted.revision}, {"version", adopted.version}});
+        core::log(core::LogLevel::Info,
+                  "standing-adopted",
+                  {{"revision", adopted.revision},
+                   {"version", adopted.version},
+                   {"previous_revision", known ? known->revision : 0},
+                   {"control", followedAddress()},
+                   {"unconfirmed", reply.unconfirmed() ? "yes" : "no"}});
         m_dependencies.view.adopt(std::move(adopted));
         m_needsCompleteFile = false;
     }
@@ -343,8 +348,15 @@
 void ControlFeedClient::confirm(const rpc::FollowReply &reply)
 {
     const auto sent = takeCallTime(reply.confirmed_ask());
-    if (sent) {
-        m_dependencies.view.confirm(reply.revision(), *sent);
+    if (!sent) {
+        return;
+    }
+    const bool wasCurrent = m_dependencies.timers.now() < m_dependencies.view.currentUntil();
+    m_dependencies.view.confirm(reply.revision(), *sent);
+    if (!wasCurrent && m_dependencies.timers.now() < m_dependencies.view.currentUntil()) {
+        core::log(core::LogLevel::Info,
+                  "standing-confirmed",
+                  {{"revision", m_dependencies.view.revision()}, {"control", followedAddress()}});
     }
 }
 
