--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -19,16 +19,10 @@
  * how long a control host that has stopped responding goes unnoticed.
  */
 constexpr auto HoldTime = std::chrono::milliseconds(800);
-constexpr auto FollowTimeout = std::chrono::milliseconds(1200);
-/**
- * Limit of the exponential backoff of time-outs and delays. Backoff starts when every control host has failed: the
- * cause may then be a slow link, which more frequent calls would not help.
- */
-constexpr std::size_t MaxDoublings = 3;
 constexpr auto ReportTimeout = std::chrono::milliseconds(500);
 constexpr auto RetryDelay = std::chrono::milliseconds(100);
-/** The same before the first response: control hosts that start together with this host refuse calls for a moment. */
-constexpr auto StartRetryDelay = std::chrono::milliseconds(20);
+/** Time-out of a call whose reply brings nothing that the pending long poll does not bring. */
+constexpr auto OwnRecordTimeout = std::chrono::milliseconds(1200);
 /** Another control host is tried if the present one confirms no call for this time. */
 constexpr auto ConfirmTimeout = std::chrono::milliseconds(2200);
 /**
@@ -119,36 +113,25 @@
     request.set_ask(recordCall());
     m_dependencies.onMessage(
         telemetry::ControlMessage::FollowRequest, telemetry::Direction::Out, request.ByteSizeLong());
-    client()->follow(
-        request, FollowTimeout * backoff(), [self = shared_from_this()](core::Result<rpc::FollowReply> reply) {
-            self->m_dependencies.pool.post([self, reply = std::move(reply)]() {
-                self->processReply(reply);
-            });
+    const auto timeout = followTimeout();
+    const auto callEnd = m_dependencies.timers.now() + timeout;
+    client()->follow(request, timeout, [self = shared_from_this(), callEnd](core::Result<rpc::FollowReply> reply) {
+        self->m_dependencies.pool.post([self, callEnd, reply = std::move(reply)]() {
+            self->processReply(reply, callEnd);
         });
+    });
 }
 
-/** Factor for time-outs and delays: doubles with each round in which every control host has failed. */
-unsigned ControlFeedClient::backoff() const
+core::Duration ControlFeedClient::followTimeout() const
 {
     const core::Lock lock(m_mutex);
-    return 1U << std::min(m_failures / m_controlHosts.size(), MaxDoublings);
-}
-
-core::Duration ControlFeedClient::retryDelay() const
-{
-    {
-        const core::Lock lock(m_mutex);
-        if (m_hasResponse) {
-            return RetryDelay;
-        }
-    }
-    return StartRetryDelay * backoff();
+    return m_backoff.timeout();
 }
 
 void ControlFeedClient::sendOwnRecord()
 {
     // The reply is ignored: the long poll that is pending beside this call brings the same updates.
-    client()->follow(makeRequest(), FollowTimeout, [](const core::Result<rpc::FollowReply> &) {});
+    client()->follow(makeRequest(), OwnRecordTimeout, [](const core::Result<rpc::FollowReply> &) {});
 }
 
 rpc::FollowRequest ControlFeedClient::makeRequest() const
@@ -174,15 +157,19 @@
     return m_lastCall;
 }
 
-void ControlFeedClient::processReply(const core::Result<rpc::FollowReply> &reply)
+void ControlFeedClient::processReply(const core::Result<rpc::FollowReply> &reply, core::TimePoint callEnd)
 {
     if (m_stopped) {
         return;
     }
     if (!core::ok(reply)) {
-        core::log(core::LogLevel::Warning, "follow-failed", {{"error", core::describe(core::error(reply))}});
-        switchControlHost();
-        runAfter(retryDelay(), &ControlFeedClient::poll);
+        const auto failure = m_dependencies.timers.now() < callEnd ? FollowFailure::Refused : FollowFailure::TimedOut;
+        core::log(core::LogLevel::Warning,
+                  "follow-failed",
+                  {{"failure", core::nameOf(FollowFailureNames, failure)},
+                   {"control", followedAddress()},
+                   {"error", core::describe(core::error(reply))}});
+        pollNextControlHost(failure);
         return;
     }
     m_dependencies.onMessage(
@@ -190,8 +177,7 @@
     if (core::value(reply).unconfirmed()) {
         applyUpdates(core::value(reply));
         core::log(core::LogLevel::Warning, "follow-unconfirmed", {{"control", followedAddress()}});
-        switchControlHost();
-        runAfter(RetryDelay * backoff(), &ControlFeedClient::poll);
+        pollNextControlHost(FollowFailure::Unconfirmed);
         return;
     }
     recordResponse();
@@ -207,8 +193,7 @@
         return;
     }
     if (isUnconfirmedTooLong()) {
-        switchControlHost();
-        runAfter(RetryDelay, &ControlFeedClient::poll);
+        pollNextControlHost(FollowFailure::Unconfirmed);
         return;
     }
     poll();
@@ -445,22 +430,26 @@
 void ControlFeedClient::recordResponse()
 {
     const core::Lock lock(m_mutex);
-    m_hasResponse = true;
-    m_failures = 0;
+    m_backoff.recordResponse();
 }
 
-void ControlFeedClient::switchControlHost()
+void ControlFeedClient::pollNextControlHost(FollowFailure failure)
 {
-    const core::Lock lock(m_mutex);
-    m_lastConfirmed = m_dependencies.timers.now();
-    ++m_failures;
-    auto &failed = m_controlHosts[m_followed];
-    // Before the first response a failure is no reason to avoid a control host: when all hosts start together, it may
-    // refuse calls only because it is still starting.
-    failed.avoidUntil = m_hasResponse ? m_lastConfirmed + AvoidPeriod : m_lastConfirmed;
-    // A new client: the old connection may never respond again.
-    failed.client = std::make_shared<rpc::ControlClient>(failed.address);
-    m_followed = (m_followed + 1) % m_controlHosts.size();
+    core::Duration pause{};
+    {
+        const core::Lock lock(m_mutex);
+        m_lastConfirmed = m_dependencies.timers.now();
+        m_backoff.recordFailure(failure, m_controlHosts.size());
+        pause = m_backoff.pauseAfter(failure);
+        auto &failed = m_controlHosts[m_followed];
+        // Before the first response a failure is no reason to avoid a control host: when all hosts start together, it
+        // may refuse calls only because it is still starting.
+        failed.avoidUntil = m_backoff.hasResponse() ? m_lastConfirmed + AvoidPeriod : m_lastConfirmed;
+        // A new client: the old connection may never respond again.
+        failed.client = std::make_shared<rpc::ControlClient>(failed.address);
+        m_followed = (m_followed + 1) % m_controlHosts.size();
+    }
+    runAfter(pause, &ControlFeedClient::poll);
 }
 
 void ControlFeedClient::runAfter(core::Duration delay, void (ControlFeedClient::*step)())
--- a/src/entry/controlfeedclient.h
+++ b/src/entry/controlfeedclient.h
@@ -9,6 +9,7 @@
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "entry/clusterview.h"
+#include "entry/followbackoff.h"
 #include "rollouts/counttable.h"
 #include "rpc/controlclient.h"
 #include "targets/targettable.h"
@@ -87,8 +88,8 @@
     void replaceControlHosts(const rpc::FollowReply &reply);
     /** Switches to a local control host (of the own failure domain), if there is one that has not failed recently. */
     void preferLocal();
-    /** Processes the result of a follow call and schedules the next call. */
-    void processReply(const core::Result<rpc::FollowReply> &reply);
+    /** Processes the result of a follow call that would have timed out at @p callEnd, and schedules the next call. */
+    void processReply(const core::Result<rpc::FollowReply> &reply, core::TimePoint callEnd);
     /**
      * Applies the reply's updates. Returns false, and applies nothing, if the reply's active configuration can't be
      * decoded.
@@ -110,14 +111,13 @@
     void sendReports();
     /** Reports what is pending after a report has arrived; after a failed one, repeats it with a delay. */
     void onReportEnd(const std::vector<targets::Target> &sent, bool arrived);
-    unsigned backoff() const;
-    core::Duration retryDelay() const;
+    core::Duration followTimeout() const;
     /** Returns the address of the control host that is followed now. */
     std::string followedAddress() const;
     /** Ends the backoff after a response of the control host. */
     void recordResponse();
-    /** Switches to the next control host and avoids the present one for a while. */
-    void switchControlHost();
+    /** Switches to the next control host, avoids the present one for a while, and schedules the next call. */
+    void pollNextControlHost(FollowFailure failure);
     /** Whether a control host of the own failure domain has failed recently. */
     bool avoidsLocal() const;
     /** Adopts the reply's active configuration, if it has one. Returns false if it can't be decoded. */
@@ -141,10 +141,7 @@
     std::vector<ControlHostEntry> m_controlHosts;
     /** Index in m_controlHosts of the control host that is followed. */
     std::size_t m_followed = 0;
-    /** Whether any control host has responded so far. */
-    bool m_hasResponse = false;
-    /** Number of consecutive failed calls. */
-    std::size_t m_failures = 0;
+    FollowBackoff m_backoff;
     /** Number of consecutive failed lease calls. */
     std::size_t m_leaseFailures = 0;
     /** When each follow call that is not yet confirmed was sent, by its number. */
