Don't refuse a request as one without a route while the configuration may be an older one

Callers got 404, which they don't repeat, from a host that was out of contact with the control hosts, for a route that a newer configuration may have. A host that can't confirm its configuration refused unknown keys with 503 already, but unknown routes with 404: the rule was written for keys only. Now both get 503, and the caller tries another host.

--- a/src/entry/configurationfollower.cpp
+++ b/src/entry/configurationfollower.cpp
@@ -43,7 +43,8 @@
     const auto *route = configuration::findRoute(configuration, hostName(exchange), exchange.path());
     if (route == nullptr) {
         logUnknownRoute(request, *active);
-        return core::Error{ErrorCode::NoSuchService, std::string(exchange.path())};
+        return isCurrent() ? core::Error{ErrorCode::NoSuchService, std::string(exchange.path())}
+                           : core::Error{ErrorCode::NotCurrent, "a newer configuration may have a route"};
     }
     auto caller = identifyCaller(request, *active, *route);
     if (!core::ok(caller)) {
--- a/src/entry/configurationfollower.h
+++ b/src/entry/configurationfollower.h
@@ -18,8 +18,8 @@
 
     /**
      * Makes @p request follow the configuration @p active: finds its route and its caller there, and picks a service
-     * unless the route still leads to the one it has. Errors: NoSuchService, RequestKeyMissing, and those of
-     * workspaces::identify().
+     * unless the route still leads to the one it has. Errors: NoSuchService if no route matches, or NotCurrent if a
+     * newer configuration may have one; RequestKeyMissing, and those of workspaces::identify().
      */
     core::Status follow(ActiveRequest &request, const ConfigurationRef &active) const;
 
