Act on no configuration before a quorum has confirmed one since the start of the host

After a change was acknowledged, an entry host that was restarted and reached only a control host without a quorum let requests run as the older version says: its permission was empty, but files that let hosts serve when stale (all files of the users' platform) made it act on whatever it had got.

Serving when stale now continues from a configuration that was confirmed in this lifetime. So that a start takes no longer, a host says in its follow call that it awaits its confirmation; the control host then starts a round at its next tick (50 ms) and answers at once, not at the end of the hold time (800 ms).

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -659,11 +659,19 @@
         }
     }
 
+    /** Time between two rounds of confirmations. */
+    core::Duration confirmPeriod() const
+    {
+        if (m_followHandler.isConfirmationFailing()) {
+            return FailingConfirmPeriod;
+        }
+        return m_followHandler.hasCallAwaitingConfirmation() ? core::Duration{} : ConfirmPeriod;
+    }
+
     /** Confirms the follow calls received so far; one round at a time, so that a round covers all of them. */
     void confirmFollowCalls(core::TimePoint now)
     {
-        const auto period = m_followHandler.isConfirmationFailing() ? FailingConfirmPeriod : ConfirmPeriod;
-        if (now < m_lastConfirmation + period || m_isConfirming.exchange(true)) {
+        if (now < m_lastConfirmation + confirmPeriod() || m_isConfirming.exchange(true)) {
             return;
         }
         m_lastConfirmation = now;
--- a/src/control/followrpchandler.cpp
+++ b/src/control/followrpchandler.cpp
@@ -76,8 +76,8 @@
         m_confirmedAt = now;
         wasFailing = std::exchange(m_isConfirmationFailing, false);
     }
-    if (wasFailing) {
-        answerConfirmed(now);
+    if (wasFailing || hasCallAwaitingConfirmation()) {
+        answerConfirmed(now, !wasFailing);
     }
 }
 
@@ -89,7 +89,7 @@
             return;
         }
     }
-    answerConfirmed(now);
+    answerConfirmed(now, false);
 }
 
 bool FollowRpcHandler::isConfirmationFailing() const
@@ -104,6 +104,14 @@
     return m_confirmedAt && now != core::TimePoint::max() && now - *m_confirmedAt > UnconfirmedLimit;
 }
 
+bool FollowRpcHandler::hasCallAwaitingConfirmation() const
+{
+    const core::Lock lock(m_mutex);
+    return std::any_of(m_pendingCalls.begin(), m_pendingCalls.end(), [](const PendingCall &call) {
+        return call.request.awaits_confirmation();
+    });
+}
+
 FollowRpcHandler::CallNumbers FollowRpcHandler::receivedCalls() const
 {
     const core::Lock lock(m_mutex);
@@ -145,11 +153,12 @@
         now);
 }
 
-void FollowRpcHandler::answerConfirmed(core::TimePoint now)
+void FollowRpcHandler::answerConfirmed(core::TimePoint now, bool onlyAwaiting)
 {
     answerIf(
-        [this](const PendingCall &call) {
-            return !call.request.peer() && confirmedCall(call.request) >= call.request.ask();
+        [this, onlyAwaiting](const PendingCall &call) {
+            const bool isWanted = !onlyAwaiting || call.request.awaits_confirmation();
+            return isWanted && !call.request.peer() && confirmedCall(call.request) >= call.request.ask();
         },
         now);
 }
--- a/src/control/followrpchandler.h
+++ b/src/control/followrpchandler.h
@@ -64,8 +64,8 @@
     using CallNumbers = std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>;
 
     /**
-     * Records that a quorum confirmed the active configuration as current after the calls in @p calls arrived. After
-     * failed confirmations, the pending calls among them are answered at once.
+     * Records that a quorum confirmed the active configuration as current after the calls in @p calls arrived. Those of
+     * them that await it are answered at once; after failed confirmations, all of them.
      */
     void recordConfirmation(const CallNumbers &calls, core::TimePoint now);
 
@@ -79,6 +79,9 @@
     /** Whether the latest confirmation failed. */
     bool isConfirmationFailing() const;
 
+    /** Whether a pending call awaits a confirmation. */
+    bool hasCallAwaitingConfirmation() const;
+
     /** The latest calls received, for recordConfirmation(). */
     CallNumbers receivedCalls() const;
 
@@ -102,8 +105,8 @@
 
     /** Keeps the call pending, unless close() was called. Returns whether it was kept. */
     bool keepPending(const PendingCall &call);
-    /** Answers the pending calls of entry hosts that the latest confirmation covers. */
-    void answerConfirmed(core::TimePoint now);
+    /** Answers the pending calls of entry hosts that the latest confirmation covers, or those of them that await it. */
+    void answerConfirmed(core::TimePoint now, bool onlyAwaiting);
     /** Answers those of the pending calls for which @p isDue returns true. */
     void answerIf(const std::function<bool(const PendingCall &)> &isDue, core::TimePoint now);
     /** Whether the last confirmation by a quorum is so old that entry hosts should follow another control host. */
--- a/src/entry/clusterview.cpp
+++ b/src/entry/clusterview.cpp
@@ -36,7 +36,8 @@
 {
     const core::Lock lock(m_mutex);
     const bool current = m_active && now < m_permission.end(m_active->configuration->limits.permission);
-    const bool servesStale = m_active && m_active->configuration->limits.whenStale == configuration::WhenStale::Serve;
+    const bool servesStale = m_active && m_permission.isConfirmed()
+                             && m_active->configuration->limits.whenStale == configuration::WhenStale::Serve;
     if (!current && !servesStale) {
         return core::Error{core::ErrorCode::NotCurrent, {}};
     }
@@ -49,6 +50,12 @@
     return m_active ? m_permission.end(m_active->configuration->limits.permission) : core::TimePoint();
 }
 
+bool ClusterView::hasConfirmedConfiguration() const
+{
+    const core::Lock lock(m_mutex);
+    return m_permission.isConfirmed();
+}
+
 std::shared_ptr<const EntryConfiguration> ClusterView::latest() const
 {
     const core::Lock lock(m_mutex);
--- a/src/entry/clusterview.h
+++ b/src/entry/clusterview.h
@@ -41,11 +41,17 @@
     core::TimePoint currentUntil() const;
 
     /**
-     * Returns the active configuration if this host may act on it at @p now: it is confirmed as current, or its limits
-     * set whenStale to Serve. Error: NotCurrent.
+     * Returns the active configuration if this host may act on it at @p now: it is confirmed as current, or it was
+     * since this host has started and its limits set whenStale to Serve. Error: NotCurrent.
      */
     core::Result<std::shared_ptr<const EntryConfiguration>> current(core::TimePoint now) const;
 
+    /**
+     * Whether a configuration was confirmed as current since this host has started. Until then, the stored one may be
+     * older than one that this host acted on before its start.
+     */
+    bool hasConfirmedConfiguration() const;
+
     /** Returns the stored active configuration, current or not; nullptr before the first one. */
     std::shared_ptr<const EntryConfiguration> latest() const;
 
--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -111,6 +111,7 @@
     auto request = makeRequest();
     request.set_hold_ms(static_cast<std::uint32_t>(HoldTime.count()));
     request.set_ask(recordCall());
+    request.set_awaits_confirmation(m_dependencies.timers.now() >= m_dependencies.view.currentUntil());
     m_dependencies.onMessage(
         telemetry::ControlMessage::FollowRequest, telemetry::Direction::Out, request.ByteSizeLong());
     const auto timeout = followTimeout();
--- a/src/entry/requestadmission.cpp
+++ b/src/entry/requestadmission.cpp
@@ -12,8 +12,8 @@
 {
 
 /**
- * How long a request may wait for this host's first configuration, and the divisor of the caller's timeout that limits
- * it further. Hosts that start together are configured within some 400 ms.
+ * How long a request may wait for this host's first confirmed configuration, and the divisor of the caller's timeout
+ * that limits it further. Hosts that start together are configured within some 400 ms.
  */
 constexpr core::Duration MaxStartWait = std::chrono::milliseconds(500);
 constexpr int StartWaitDivisor = 4;
@@ -30,14 +30,14 @@
 
 bool RequestAdmission::awaitConfiguration(http::Exchange &exchange) const
 {
-    if (m_dependencies.view.latest()) {
+    if (m_dependencies.view.hasConfirmedConfiguration()) {
         return true;
     }
     const auto timeout = m_dependencies.protocolHooks.callerTimeout(exchange);
     const auto share =
         core::ok(timeout) && core::value(timeout) ? *core::value(timeout) / StartWaitDivisor : MaxStartWait;
     const auto end = m_dependencies.timers.now() + std::min(MaxStartWait, share);
-    while (!m_dependencies.view.latest() && m_dependencies.timers.now() < end) {
+    while (!m_dependencies.view.hasConfirmedConfiguration() && m_dependencies.timers.now() < end) {
         if (!waitFor(exchange, StartWaitStep)) {
             return false;
         }
--- a/src/membership/permission.h
+++ b/src/membership/permission.h
@@ -27,6 +27,12 @@
         }
     }
 
+    /** Whether any call has been confirmed. */
+    bool isConfirmed() const
+    {
+        return m_confirmedSendTime.has_value();
+    }
+
     /** Returns when the permission, which lasts for @p length, ends; the epoch if no call has been confirmed. */
     core::TimePoint end(core::Duration length) const
     {
--- a/tests/control/followrpchandler.cpp
+++ b/tests/control/followrpchandler.cpp
@@ -194,6 +194,26 @@
     CHECK(fixture.replies.empty());
 }
 
+TEST_CASE("a call that awaits its confirmation is answered as soon as it is confirmed, and no other call is")
+{
+    Fixture fixture;
+    fixture.followNumbered(1);
+    CHECK_FALSE(fixture.handler.hasCallAwaitingConfirmation());
+    auto request = fixture.upToDateRequest("ravne");
+    request.mutable_host()->set_id("e2");
+    request.set_ask(7);
+    request.set_awaits_confirmation(true);
+    const auto earlier = fixture.handler.receivedCalls();
+    fixture.follow(request);
+    CHECK(fixture.handler.hasCallAwaitingConfirmation());
+    fixture.handler.recordConfirmation(earlier, Start + 50ms);
+    CHECK(fixture.replies.empty());
+    fixture.confirmReceived(Start + 100ms);
+    REQUIRE(fixture.replies.size() == 1);
+    CHECK(fixture.replies[0].confirmed_ask() == 7);
+    CHECK_FALSE(fixture.handler.hasCallAwaitingConfirmation());
+}
+
 TEST_CASE("a reply tells other control hosts, and only those, whether this host's knowledge of targets is complete")
 {
     Fixture fixture;
