Don't lengthen the time-out of follow calls after refusals

A host misses changes while it waits for a control host that doesn't answer. The wait doubled with each round of failures of any kind, up to 9.6 s: some three seconds of refused calls, as while all control hosts restart, were enough. If one of them then stays down without a word, hosts that call it first learn of changes seconds later than the others.

Only a round of time-outs can mean a slow link, for which the longer time-out is meant. Refusals and answers without a quorum show that the link works.

Evidence: 'control hosts that refuse calls or lack a quorum do not lengthen the time-out of the next call' gave 9.6 s instead of 1.2 s before.

--- a/src/entry/followbackoff.cpp
+++ b/src/entry/followbackoff.cpp
@@ -43,7 +43,7 @@
 
 core::Duration FollowBackoff::timeout() const
 {
-    return FollowTimeout * doubled(m_failures / m_controlHosts);
+    return FollowTimeout * doubled(m_timeouts / m_controlHosts);
 }
 
 core::Duration FollowBackoff::pauseAfter(FollowFailure failure) const
