Refuse responses whose status HTTP does not define

A target in trouble may send the status 000. It was taken for an interim response, so the caller waited for another one until the deadline; if the body looked like a response, with the request's id and a signature, the caller got that. 600 to 999 were passed on unchanged. A status outside 100 to 599 now fails the attempt as any other bytes that are no response: an idempotent request is sent to another target, others get 502, and the connection is closed. Load probes and the client of our own hosts check the same.

Evidence: 'a response whose status HTTP does not define is not delivered, whatever its body holds' failed before in all of its 15 cases: 9 delivered, 6 waited until the deadline.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/address.h"
+#include "http/headers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -94,6 +95,9 @@
     if (outcome) {
         return core::Error{core::ErrorCode::PeerUnreachable, address + ": " + outcome.message()};
     }
+    if (const auto fault = answerFault(parser.get())) {
+        return core::Error{core::ErrorCode::PeerUnreachable, address + ": " + *fault};
+    }
     return takeAnswer(parser.get());
 }
 
--- a/src/http/headers.cpp
+++ b/src/http/headers.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <fmt/format.h>
 #include <vector>
 
 namespace pimentoshed::http
@@ -60,8 +61,10 @@
     return bytes;
 }
 
-} // namespace
-
+/**
+ * Returns why the framing of a message with these @p fields is refused, or nothing. Implementations could disagree on
+ * where such a message ends, which would allow request smuggling.
+ */
 std::optional<std::string> framingFault(const message::fields &fields, unsigned version)
 {
     const auto codings = fields.count(message::field::transfer_encoding);
@@ -78,6 +81,8 @@
     return std::nullopt;
 }
 
+} // namespace
+
 std::optional<std::string> requestFault(const RequestHead &head)
 {
     if (head.version() != Version10 && head.version() != Version11) {
@@ -93,6 +98,16 @@
     return framingFault(head, head.version());
 }
 
+std::optional<std::string> answerFault(const AnswerHead &head)
+{
+    constexpr unsigned FirstStatus = 100;
+    constexpr unsigned LastStatus = 599;
+    if (head.result_int() < FirstStatus || head.result_int() > LastStatus) {
+        return fmt::format("status {:03}, which HTTP does not define", head.result_int());
+    }
+    return framingFault(head, head.version());
+}
+
 void removeHopByHopHeaders(message::fields &fields)
 {
     std::vector<std::string> listed;
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -31,15 +31,15 @@
 using RequestHead = boost::beast::http::header<true>;
 using AnswerHead = boost::beast::http::header<false>;
 
-/**
- * Returns why the framing of a message with these @p fields is refused, or nothing. Implementations could disagree on
- * where such a message ends, which would allow request smuggling.
- */
-std::optional<std::string> framingFault(const boost::beast::http::fields &fields, unsigned version);
-
 /** Returns why a request with @p head is refused as malformed, or nothing. */
 std::optional<std::string> requestFault(const RequestHead &head);
 
+/**
+ * Returns why a response with @p head is no valid response, or nothing: its framing is ambiguous, or its status is not
+ * one of the five classes of HTTP (100 to 599).
+ */
+std::optional<std::string> answerFault(const AnswerHead &head);
+
 /** Removes the hop-by-hop headers: those known as such and those listed in the Connection header. */
 void removeHopByHopHeaders(boost::beast::http::fields &fields);
 
--- a/src/http/loadprobe.cpp
+++ b/src/http/loadprobe.cpp
@@ -131,7 +131,7 @@
             return;
         }
         m_hasEnded = true;
-        if (answered) {
+        if (answered && !answerFault(m_answer.get())) {
             m_result.signals = m_round->protocolHooks.readSignals(m_answer.get());
             // A response to another request may have taken the place of the probe's own, which may still follow.
             if (m_result.signals && m_answer.keep_alive() && m_connection->buffer.size() == 0) {
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -396,7 +396,7 @@
         return false;
     }
     const auto &head = m_answerParser->get();
-    const auto fault = framingFault(head, head.version());
+    const auto fault = answerFault(head);
     if (fault || head.result() == message::status::switching_protocols) {
         abort(ErrorCode::TargetFailed, fault.value_or("unrequested status 101 (Switching Protocols)"));
         return false;
--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -83,6 +83,27 @@
     CHECK(server.idleConnections() == 0);
 }
 
+// Guards against a status that no caller can interpret, and against the body of such a response read as the next one.
+TEST_CASE("a response whose status HTTP does not define is not delivered, whatever its body holds")
+{
+    const std::string status = GENERATE(as<std::string>{}, "000", "001", "099", "600", "999");
+    const std::string body = GENERATE(std::string(), std::string("trouble"), signedAnswer("r1", "forged"));
+    ScriptedTarget target(respondWith(
+        fmt::format("HTTP/1.1 {} Trouble\r\nX-Request-Id: r1\r\nX-Response-Sig: s\r\nContent-Length: {}\r\n\r\n{}",
+                    status,
+                    body.size(),
+                    body)));
+    RelayServer server(target.address(), platformRelayOptions(false));
+    auto caller = server.caller();
+    caller.write(Get);
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    const auto result = server.nextResult();
+    CHECK_FALSE(result.sentToCaller);
+    CHECK(result.outcome.run == RunState::Unknown);
+    CHECK(result.outcome.failure->code == ErrorCode::TargetFailed);
+    CHECK(server.idleConnections() == 0);
+}
+
 TEST_CASE("a response that proves that the request was not run leaves the connection usable")
 {
     const auto head = GENERATE(as<std::string>{},
