Send a host that awaits its confirmation away from a control host that gets none

A host that has started waits for its first confirmation. While confirmations fail, such a host is now answered at once and tries the next control host. Hosts without any configuration still wait, as all hosts that start together do.

--- a/src/control/followrpchandler.cpp
+++ b/src/control/followrpchandler.cpp
@@ -35,8 +35,7 @@
     recordCall(request, now);
     // A host that is new to this feed needs all records at once.
     const auto scope = request.feed_id() == m_dependencies.feedId ? UpdateScope::Configuration : UpdateScope::All;
-    const bool mustSwitchHost = !request.peer() && isUnconfirmed(now);
-    if (mustSwitchHost || hasUpdate(request, scope)
+    if (mustSwitchHost(request, now) || hasUpdate(request, scope)
         || !keepPending({request, respond, now + std::chrono::milliseconds(request.hold_ms())})) {
         respond(answer(request, now));
     }
@@ -98,10 +97,15 @@
     return m_isConfirmationFailing;
 }
 
-bool FollowRpcHandler::isUnconfirmed(core::TimePoint now) const
+bool FollowRpcHandler::mustSwitchHost(const rpc::FollowRequest &request, core::TimePoint now) const
 {
+    if (request.peer()) {
+        return false;
+    }
+    const bool cannotAct = request.awaits_confirmation() && request.revision() > 0;
     const core::Lock lock(m_mutex);
-    return m_confirmedAt && now != core::TimePoint::max() && now - *m_confirmedAt > UnconfirmedLimit;
+    const bool isOld = m_confirmedAt && now != core::TimePoint::max() && now - *m_confirmedAt > UnconfirmedLimit;
+    return isOld || (cannotAct && m_isConfirmationFailing);
 }
 
 bool FollowRpcHandler::hasCallAwaitingConfirmation() const
@@ -144,11 +148,9 @@
 void FollowRpcHandler::answerDue(core::TimePoint now, UpdateScope scope)
 {
     m_fileCompressor.addBase(m_dependencies.activeConfiguration());
-    const bool unconfirmed = isUnconfirmed(now);
     answerIf(
-        [this, now, scope, unconfirmed](const PendingCall &call) {
-            const bool mustSwitchHost = unconfirmed && !call.request.peer();
-            return mustSwitchHost || call.holdEnd <= now || hasUpdate(call.request, scope);
+        [this, now, scope](const PendingCall &call) {
+            return mustSwitchHost(call.request, now) || call.holdEnd <= now || hasUpdate(call.request, scope);
         },
         now);
 }
@@ -218,7 +220,7 @@
         addControlHosts(reply);
         return reply;
     }
-    reply.set_unconfirmed(isUnconfirmed(now));
+    reply.set_unconfirmed(mustSwitchHost(request, now));
     // Read before the active configuration, which is then at least as new as the confirmed one.
     reply.set_confirmed_ask(confirmedCall(request));
     const auto activeConfiguration = m_dependencies.activeConfiguration();
--- a/src/control/followrpchandler.h
+++ b/src/control/followrpchandler.h
@@ -109,8 +109,11 @@
     void answerConfirmed(core::TimePoint now, bool onlyAwaiting);
     /** Answers those of the pending calls for which @p isDue returns true. */
     void answerIf(const std::function<bool(const PendingCall &)> &isDue, core::TimePoint now);
-    /** Whether the last confirmation by a quorum is so old that entry hosts should follow another control host. */
-    bool isUnconfirmed(core::TimePoint now) const;
+    /**
+     * Whether the caller should follow another control host: the last confirmation by a quorum is old, or it fails and
+     * the caller can't act on the configuration that it has without one.
+     */
+    bool mustSwitchHost(const rpc::FollowRequest &request, core::TimePoint now) const;
     void recordCall(const rpc::FollowRequest &request, core::TimePoint now);
     bool hasUpdate(const rpc::FollowRequest &request, UpdateScope scope) const;
     void addControlHosts(rpc::FollowReply &reply) const;
--- a/tests/control/followrpchandler.cpp
+++ b/tests/control/followrpchandler.cpp
@@ -214,6 +214,28 @@
     CHECK_FALSE(fixture.handler.hasCallAwaitingConfirmation());
 }
 
+// Guards against a host that stays out of service after its start because it waits at a control host that is cut off.
+TEST_CASE(
+    "a host that can't act without a confirmation is sent away while confirmations fail, once it has a configuration")
+{
+    Fixture fixture;
+    fixture.handler.recordConfirmation({}, Start);
+    fixture.handler.recordFailedConfirmation(Start + 10ms);
+    auto request = fixture.upToDateRequest("ravne");
+    request.set_ask(1);
+    request.set_awaits_confirmation(true);
+    fixture.follow(request);
+    CHECK(fixture.replies.empty());
+    fixture.activeConfiguration->revision = 1;
+    request.set_revision(1);
+    fixture.follow(request);
+    REQUIRE(fixture.replies.size() == 1);
+    CHECK(fixture.replies[0].unconfirmed());
+    request.set_awaits_confirmation(false);
+    fixture.follow(request);
+    CHECK(fixture.replies.size() == 1);
+}
+
 TEST_CASE("a reply tells other control hosts, and only those, whether this host's knowledge of targets is complete")
 {
     Fixture fixture;
