--- a/src/control/followrpchandler.cpp
+++ b/src/control/followrpchandler.cpp
@@ -76,7 +76,7 @@
         wasFailing = std::exchange(m_isConfirmationFailing, false);
     }
     if (wasFailing || hasCallAwaitingConfirmation()) {
-        answerConfirmed(now, !wasFailing);
+        answerConfirmed(now, wasFailing ? ConfirmedScope::All : ConfirmedScope::Awaiting);
     }
 }
 
@@ -88,7 +88,7 @@
             return;
         }
     }
-    answerConfirmed(now, false);
+    answerConfirmed(now, ConfirmedScope::All);
 }
 
 bool FollowRpcHandler::isConfirmationFailing() const
@@ -155,12 +155,12 @@
         now);
 }
 
-void FollowRpcHandler::answerConfirmed(core::TimePoint now, bool onlyAwaiting)
+void FollowRpcHandler::answerConfirmed(core::TimePoint now, ConfirmedScope scope)
 {
     answerIf(
-        [this, onlyAwaiting](const PendingCall &call) {
-            const bool isWanted = !onlyAwaiting || call.request.awaits_confirmation();
-            return isWanted && !call.request.peer() && confirmedCall(call.request) >= call.request.ask();
+        [this, scope](const PendingCall &call) {
+            const bool isInScope = scope == ConfirmedScope::All || call.request.awaits_confirmation();
+            return isInScope && !call.request.peer() && confirmedCall(call.request) >= call.request.ask();
         },
         now);
 }
--- a/src/control/followrpchandler.h
+++ b/src/control/followrpchandler.h
@@ -97,6 +97,12 @@
     std::size_t pendingCallCount() const;
 
 private:
+    /** Which confirmed calls are answered. */
+    enum class ConfirmedScope : std::uint8_t {
+        All,
+        /** Only those that await their confirmation. */
+        Awaiting,
+    };
     struct PendingCall {
         rpc::FollowRequest request;
         rpc::Responder<rpc::FollowReply> respond;
@@ -105,8 +111,8 @@
 
     /** Keeps the call pending, unless close() was called. Returns whether it was kept. */
     bool keepPending(const PendingCall &call);
-    /** Answers the pending calls of entry hosts that the latest confirmation covers, or those of them that await it. */
-    void answerConfirmed(core::TimePoint now, bool onlyAwaiting);
+    /** Answers those of the pending calls of entry hosts within @p scope that the latest confirmation covers. */
+    void answerConfirmed(core::TimePoint now, ConfirmedScope scope);
     /** Answers those of the pending calls for which @p isDue returns true. */
     void answerIf(const std::function<bool(const PendingCall &)> &isDue, core::TimePoint now);
     /**
