--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -331,7 +331,8 @@
         buffer.erase(0, std::min(size, buffer.size()));
         return message;
     }
-    if (isResponse) {
+    constexpr int FirstFinalStatus = 200;
+    if (isResponse && message.status() >= FirstFinalStatus) {
         while (socket.readSome(buffer, deadline)) {
         }
         message.body.swap(buffer);
