--- a/review/6/standin.cpp
+++ b/review/6/standin.cpp
@@ -74,7 +74,7 @@
 int run(Record &record)
 {
     Deployment deployment(Fronts);
-    Operator oper(deployment.controls(), record);
+    const Operator oper(deployment.controls(), record);
     const auto first = document(7, 0, {{"loans", "alpha"}}, {"alpha"});
     if (oper.order("PUT", "/config", first, 0, Millis(15000)) != 200) {
         throw CannotRun{"the first configuration is not accepted"};
--- a/review/7/standin.cpp
+++ b/review/7/standin.cpp
@@ -73,7 +73,7 @@
 int run(Record &record)
 {
     Deployment deployment(Fronts);
-    Operator oper(deployment.controls(), record);
+    const Operator oper(deployment.controls(), record);
     if (oper.order("PUT", "/config", document(7, 0, {{"loans", "alpha"}}, {"alpha"}), 0, Millis(15000)) != 200) {
         throw CannotRun{"the first configuration is not accepted"};
     }
@@ -98,8 +98,6 @@
     while (broken == 0 && ++cycle <= Cycles) {
         const auto start = Clock::now();
         const std::size_t frozen = 1 + cycle % 2;
-        // A read beforehand, so that the operator has a connection to this core machine.
-        oper.order("GET", "/config", "", frozen);
         std::this_thread::sleep_until(start + Millis(500));
         if (hasTrouble()) {
             record.write("cycle %u: core %zu freezes (SIGSTOP)", cycle, frozen);
--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -376,42 +376,6 @@
     return message && message->isComplete ? message : std::nullopt;
 }
 
-/** The kept connections of one caller, at most one to each address. */
-class KeptConnections
-{
-public:
-    /** Like call(), on the kept connection to @p address if there is one, and keeps the connection afterwards. */
-    std::optional<Message> call(const std::string &address,
-                                const std::string &method,
-                                const std::string &path,
-                                const std::string &body,
-                                Millis timeout)
-    {
-        const auto deadline = Clock::now() + timeout;
-        auto kept = m_sockets.extract(address);
-        auto socket = kept ? std::move(kept.mapped()) : Socket();
-        // A connection that the server has closed meanwhile is readable.
-        if (!socket.isOpen() || socket.waitFor(POLLIN, Clock::now() + Millis(1))) {
-            socket = connectTo(address, deadline);
-        }
-        if (!socket.isOpen() || !socket.writeAll(requestBytes(method, path, address, JsonType, body), deadline)) {
-            return std::nullopt;
-        }
-        std::string buffer;
-        auto message = readMessage(socket, buffer, deadline, true);
-        if (!message || !message->isComplete) {
-            return std::nullopt;
-        }
-        if (message->header("connection") != "close") {
-            m_sockets.emplace(address, std::move(socket));
-        }
-        return message;
-    }
-
-private:
-    std::map<std::string, Socket> m_sockets;
-};
-
 // -------------------------------------------------------------------------------------------------- processes
 
 /** One of the project's programs. Killed at the end of the script if it is still running. */
@@ -906,7 +870,7 @@
 
 /**
  * The operator: sends an order to one node after the other, with a second for each response, until one of them
- * acknowledges it. Keeps connections open, but closes one on which no response has come in time.
+ * acknowledges it. Each call has a connection of its own, which is closed when no response has come in time.
  */
 class Operator
 {
@@ -922,13 +886,13 @@
               const std::string &path,
               const std::string &body,
               std::size_t firstNode,
-              Millis limit = Millis(4000))
+              Millis limit = Millis(4000)) const
     {
         const auto end = Clock::now() + limit;
         auto backoff = Millis(50);
         for (auto node = firstNode; Clock::now() < end; ++node) {
             const auto &address = m_controls[node % m_controls.size()];
-            const auto answer = m_connections.call(address, method, path, body, Millis(1000));
+            const auto answer = call(address, method, path, body, Millis(1000));
             const int status = answer ? answer->status() : 0;
             m_record.write("operator: %s %s at core %zu -> %s", method.c_str(), printable(path).c_str(),
                            node % m_controls.size(),
@@ -947,7 +911,6 @@
 private:
     const std::vector<std::string> m_controls;
     Record &m_record;
-    KeptConnections m_connections;
 };
 
 /** The operator's document: hosts with one route each, as "r-NAME" -> service, and services. */
