--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -896,7 +896,7 @@
             const int status = answer ? answer->status() : 0;
             m_record.write("operator: %s %s at core %zu -> %s", method.c_str(), printable(path).c_str(),
                            node % m_controls.size(),
-                           status == 0 ? "no response in 1 s, connection closed" : std::to_string(status).c_str());
+                           status == 0 ? "no response within 1 s, or no connection" : std::to_string(status).c_str());
             const bool hasEnded = status / 100 == 2 || status == 400 || status == 409 || status == 412 || status == 413
                                   || status == 422;
             if (hasEnded) {
