--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -28,6 +28,7 @@
 #include <poll.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -402,6 +403,8 @@
         if (m_id != 0) {
             return;
         }
+        // Ends with the script, also if that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
