Don't take a reset during the upload for the end of a response

A target that answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection had that part delivered as the complete response, with a last chunk that closed it.

A response without a length ends with its connection. The body of the request is written by a coroutine of its own at the same time, and the system reports a reset only once: if the write gets it (ECONNRESET), the reads after it return the bytes that have arrived and then 0, as at a regular end. The relay ignored the failed write and took the 0 for the end.

The relay now remembers that a write found the connection broken, and such a response then fails as truncated: 502, or a visible cut if a part was sent already. A write that is still pending at the end of the connection may have failed with its handler queued, so the relay closes the connection and waits for it first. EPIPE is no such failure: on Linux the first write that fails returns it only if the target had ended its bytes in order (FIN) before the reset, and then all of them arrive.

Evidence: a trace of the relay shows 'write: Connection reset by peer', then reads with success up to the end, and in one case the end before the handler of the write.

--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -45,6 +45,16 @@
            || failure == asio::error::connection_reset || failure == asio::error::broken_pipe;
 }
 
+/**
+ * Whether a write failed because the connection broke. A write on a connection that this host has closed fails as well,
+ * and so does one after a reset that followed the regular end of the peer's bytes (EPIPE).
+ */
+bool isConnectionBroken(const beast::error_code &failure)
+{
+    return failure && failure != asio::error::operation_aborted && failure != asio::error::bad_descriptor
+           && failure != asio::error::broken_pipe;
+}
+
 } // namespace
 
 RelayAttempt::RelayAttempt(Exchange &exchange,
@@ -221,9 +231,14 @@
 bool RelayAttempt::sendToTarget(const Yield &yield, const std::string &bytes)
 {
     boost::system::error_code failure;
+    m_isSending = true;
     asio::async_write(m_connection->socket, asio::buffer(bytes), yield[failure]);
-    // No failure is recorded: the target may have responded before it closed, which the reading side finds out.
-    return !failure && !m_failure;
+    m_isSending = false;
+    // The attempt goes on: the target may have responded before it closed, which the reading side finds out.
+    if (isConnectionBroken(failure)) {
+        m_uploadFailure = failure;
+    }
+    return !failure && !m_failure && m_connection->socket.is_open();
 }
 
 void RelayAttempt::startUpload()
@@ -298,6 +313,11 @@
         m_connection->socket.close(ignored);
         m_caller.cancel();
     }
+    awaitUploadEnd();
+}
+
+void RelayAttempt::awaitUploadEnd()
+{
     while (m_uploading) {
         boost::system::error_code ignored;
         m_uploadEnd.async_wait(m_yield[ignored]);
@@ -470,6 +490,7 @@
 
 bool RelayAttempt::relayBody(AnswerWriter &writer)
 {
+    const bool endsWithConnection = m_answerParser->need_eof();
     std::string piece;
     while (!m_answerParser->is_done()) {
         const bool mustWait = m_connection->buffer.size() == 0;
@@ -482,11 +503,28 @@
         }
         writer.append(piece);
     }
+    if (endsWithConnection && !hasRegularEnd()) {
+        return false;
+    }
     reachStage(AttemptStage::AnswerWhole);
     writer.finish();
     return true;
 }
 
+bool RelayAttempt::hasRegularEnd()
+{
+    if (m_isSending) {
+        // The write may have failed already with its handler still queued.
+        boost::system::error_code ignored;
+        m_connection->socket.close(ignored);
+        awaitUploadEnd();
+    }
+    if (m_uploadFailure) {
+        abort(ErrorCode::AnswerTruncated, m_uploadFailure.message());
+    }
+    return !m_failure;
+}
+
 bool RelayAttempt::flush(AnswerWriter &writer)
 {
     if (!writer.hasStarted() && m_shared != nullptr && !m_shared->claim()) {
--- a/src/http/relayattempt.h
+++ b/src/http/relayattempt.h
@@ -84,6 +84,8 @@
     bool readRequestPiece(const Yield &yield, std::string &piece);
     /** Cancels an upload that is still running and waits for its coroutine to end. */
     void stopUpload();
+    /** Waits until the upload's coroutine has ended. */
+    void awaitUploadEnd();
 
     /** Reads heads up to the final one of this request's response. Returns false if the attempt has failed. */
     bool readAnswerHead();
@@ -101,6 +103,12 @@
     bool skipAnswer();
     void relayAnswer();
     bool relayBody(AnswerWriter &writer);
+    /**
+     * Whether the end of the connection, after which no more can be read, is the end of the response. The system
+     * reports a reset only once: after a write has got it, a read finds a regular end. Ends the attempt if the
+     * connection broke.
+     */
+    bool hasRegularEnd();
     bool flush(AnswerWriter &writer);
     bool readAnswerPiece(std::string &piece);
 
@@ -134,6 +142,10 @@
     requests::AttemptStage m_stage = requests::AttemptStage::NotConnected;
     core::Duration m_headWaitTime{};
     std::uint64_t m_bodyBytes = 0;
+    /** Why the connection broke while the body was written to it, if it did. */
+    boost::system::error_code m_uploadFailure;
+    /** Whether a piece of the body is being written to the target. */
+    bool m_isSending = false;
     bool m_uploading = false;
     bool m_uploaded = false;
     bool m_sentToCaller = false;
--- a/tests/http/relay.cpp
+++ b/tests/http/relay.cpp
@@ -34,6 +34,11 @@
     };
 }
 
+std::string uploadHead(bool isOldVersion, std::size_t bodyBytes)
+{
+    return fmt::format("POST /a HTTP/1.{}\r\nHost: x\r\nContent-Length: {}\r\n\r\n", isOldVersion ? 0 : 1, bodyBytes);
+}
+
 bool failedWith(const http::RelayResult &result, RunState run, ErrorCode code)
 {
     return result.outcome.run == run && result.outcome.failure && result.outcome.failure->code == code;
@@ -191,6 +196,63 @@
     }
 }
 
+// Guards against a truncated response that looks complete because the upload got the only report of the reset.
+TEST_CASE("a response without a length that is reset during the upload never looks complete to the caller")
+{
+    constexpr std::size_t BodyBytes = 16'000'000;
+    const bool isOldVersion = GENERATE(true, false);
+    const std::size_t answerBytes = GENERATE(0, 4096, 300'000);
+    const auto delay = std::chrono::milliseconds(GENERATE(0, 20));
+    const std::size_t bufferBytes = GENERATE(0, 262'144);
+    CAPTURE(isOldVersion, answerBytes, delay.count(), bufferBytes);
+    ScriptedTarget target([&](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(answerBytes, 'a'));
+        std::this_thread::sleep_for(delay);
+        socket.reset();
+    });
+    auto options = relayOptions(false);
+    options.maxRequestBytes = BodyBytes;
+    options.answerBufferBytes = bufferBytes;
+    RelayServer server(target.address(), options);
+    auto caller = server.caller();
+    caller.write(uploadHead(isOldVersion, BodyBytes));
+    caller.write(std::string(BodyBytes, 'b'));
+    CHECK_FALSE(caller.readAll().ends_with("0\r\n\r\n"));
+    const auto result = server.nextResult();
+    CHECK(result.outcome.run == RunState::Unknown);
+    REQUIRE(result.outcome.failure);
+    // The head itself may not have been read before the reset.
+    CHECK((result.outcome.failure->code == ErrorCode::AnswerTruncated || !result.sentToCaller));
+}
+
+// Guards against a whole response that is discarded because the target reset the rest of the upload after its end.
+TEST_CASE("a response that ends with its connection is delivered although the target reads no more of the upload")
+{
+    constexpr std::size_t BodyBytes = 16'000'000;
+    const std::size_t answerBytes = GENERATE(0, 4096);
+    const auto delay = std::chrono::milliseconds(GENERATE(0, 20));
+    CAPTURE(answerBytes, delay.count());
+    ScriptedTarget target([&](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(answerBytes, '+'));
+        socket.closeSending();
+        std::this_thread::sleep_for(delay);
+        socket.reset();
+    });
+    auto options = relayOptions(false);
+    options.maxRequestBytes = BodyBytes;
+    options.answerBufferBytes = 1U << 20U;
+    RelayServer server(target.address(), options);
+    auto caller = server.caller();
+    caller.write(uploadHead(false, BodyBytes));
+    caller.write(std::string(BodyBytes / 8, 'b'));
+    const auto received = caller.readUntil("\r\n0\r\n\r\n");
+    CHECK(received.ends_with("\r\n0\r\n\r\n"));
+    CHECK(std::count(received.begin(), received.end(), '+') == static_cast<std::ptrdiff_t>(answerBytes));
+    CHECK(server.nextResult().outcome.run == RunState::Ran);
+}
+
 TEST_CASE("a request whose declared length is too large is not sent to the target")
 {
     ScriptedTarget target(answering(Ok));
--- a/tests/processes/rawtarget.cpp
+++ b/tests/processes/rawtarget.cpp
@@ -29,6 +29,12 @@
     return head.substr(value, head.find("\r\n", value) - value);
 }
 
+void resetConnection(int descriptor)
+{
+    const sockaddr none{AF_UNSPEC, {}};
+    REQUIRE(connect(descriptor, &none, sizeof(none)) == 0);
+}
+
 RawTarget::RawTarget(const std::string &address, Responder respond)
     : m_respond(std::move(respond))
     , m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
--- a/tests/processes/rawtarget.h
+++ b/tests/processes/rawtarget.h
@@ -16,6 +16,9 @@
 /** Returns the value of the header @p name in @p head; empty if it has none. */
 std::string headerOf(const std::string &head, const std::string &name);
 
+/** Resets the connection of the socket @p descriptor without closing the descriptor, which is left to its owner. */
+void resetConnection(int descriptor);
+
 /** Accepts connections, each with a thread of its own, and leaves the response to each request without a body to a
  * hook. */
 class RawTarget
