--- a/tests/http/relay.cpp
+++ b/tests/http/relay.cpp
@@ -253,6 +253,23 @@
     CHECK(server.nextResult().outcome.run == RunState::Ran);
 }
 
+TEST_CASE(
+    "a response that ends with its connection does not look complete if the request turns out malformed meanwhile")
+{
+    ScriptedTarget target([](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.write("HTTP/1.1 200 OK\r\n\r\nabc");
+        socket.readAll();
+    });
+    RelayServer server(target.address(), relayOptions(false));
+    auto caller = server.caller();
+    caller.write("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    CHECK(caller.readUntil("abc").ends_with("abc"));
+    caller.write("no chunk\r\n");
+    CHECK_FALSE(caller.readAll().ends_with("0\r\n\r\n"));
+    CHECK(failedWith(server.nextResult(), RunState::Unknown, ErrorCode::RequestMalformed));
+}
+
 TEST_CASE("a request whose declared length is too large is not sent to the target")
 {
     ScriptedTarget target(answering(Ok));
@@ -363,6 +380,7 @@
 TEST_CASE("malformed responses fail the attempt and are not relayed")
 {
     const std::string answer = GENERATE("nonsense\r\n\r\n",
+                                        "HTTP/1.1 200 OK\r\n X-A: 1\r\nContent-Length: 2\r\n\r\nok",
                                         "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
--- a/tests/http/relayrace.cpp
+++ b/tests/http/relayrace.cpp
@@ -223,6 +223,8 @@
     const auto &[bytes, isKept] = GENERATE(table<std::string, bool>({
         {"", false},
         {"garbled\r\n\r\n", true},
+        {"HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nno", true},
+        {"HTTP/1.1 200 OK\r\nX-A B: 1\r\nContent-Length: 2\r\n\r\nno", true},
         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbro", false},
         {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno", true},
     }));
@@ -237,6 +239,23 @@
     CHECK(countOf(answer, "HTTP/1.1") == 1);
 }
 
+TEST_CASE("a response without a length that is reset never wins while the other attempt may still succeed")
+{
+    ScriptedTarget resets([](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.write("HTTP/1.1 200 OK\r\n\r\nbro");
+        std::this_thread::sleep_for(80ms);
+        socket.reset();
+    });
+    ScriptedTarget answers(writing(response("good"), 100ms));
+    const bool firstFails = GENERATE(true, false);
+    RaceServer server(firstFails ? resets.address() : answers.address(),
+                      firstFails ? answers.address() : resets.address());
+    const auto answer = answerOf(server);
+    CHECK(answer.ends_with("good"));
+    CHECK(countOf(answer, "HTTP/1.1") == 1);
+}
+
 TEST_CASE("if both attempts fail, neither has sent anything to the caller")
 {
     const auto &bytes =
--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -86,7 +86,7 @@
 // Guards against a status that no caller can interpret, and against the body of such a response read as the next one.
 TEST_CASE("a response whose status HTTP does not define is not delivered, whatever its body holds")
 {
-    const std::string status = GENERATE(as<std::string>{}, "000", "001", "099", "600", "999");
+    const std::string status = GENERATE(as<std::string>{}, "000", "001", "099", "600", "999", "0", "20", "2000");
     const std::string body = GENERATE(std::string(), std::string("trouble"), signedAnswer("r1", "forged"));
     ScriptedTarget target(respondWith(
         fmt::format("HTTP/1.1 {} Trouble\r\nX-Request-Id: r1\r\nX-Response-Sig: s\r\nContent-Length: {}\r\n\r\n{}",
@@ -104,6 +104,44 @@
     CHECK(server.idleConnections() == 0);
 }
 
+TEST_CASE("a response with a malformed field, also in an interim response or a trailer, is not delivered")
+{
+    const auto field = GENERATE(as<std::string>{},
+                                "X-A B: 1",
+                                "X-A\tB: 1",
+                                "X-A\x01: 1",
+                                "X-A\x7f: 1",
+                                std::string("X-A\0B: 1", 9),
+                                "X-A\xe9: 1",
+                                "X-A : 1",
+                                ": 1",
+                                "X-A",
+                                "X-A: \x01",
+                                "X-A: \x7f",
+                                std::string("X-A: \0", 6),
+                                "X-A: 1\r2",
+                                "X-A: 1\nX-B: 2");
+    const std::string ids = "X-Request-Id: r1\r\nX-Response-Sig: s\r\n";
+    const auto bytes = GENERATE_COPY(
+        "HTTP/1.1 200 OK\r\n" + field + "\r\n" + ids + "Content-Length: 6\r\n\r\ntheirs",
+        "HTTP/1.1 200 OK\r\n" + ids + field + "\r\n\r\ntheirs",
+        "HTTP/1.1 204 No Content\r\n" + ids + field + "\r\n\r\n",
+        "HTTP/1.1 500 Error\r\n" + ids + field + "\r\nContent-Length: 6\r\n\r\ntheirs",
+        "HTTP/1.1 503 Busy\r\n" + ids + field + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + signedAnswer("r1", "theirs"),
+        "HTTP/1.1 200 OK\r\n" + ids + "Transfer-Encoding: chunked\r\n\r\n6\r\ntheirs\r\n0\r\n" + field + "\r\n\r\n");
+    CAPTURE(bytes);
+    ScriptedTarget target(respondWith(bytes));
+    RelayServer server(target.address(), platformRelayOptions(false));
+    auto caller = server.caller();
+    caller.write(Get);
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
+    const auto result = server.nextResult();
+    CHECK_FALSE(result.sentToCaller);
+    CHECK(result.outcome.run == RunState::Unknown);
+    CHECK(server.idleConnections() == 0);
+}
+
 TEST_CASE("a response that proves that the request was not run leaves the connection usable")
 {
     const auto head = GENERATE(as<std::string>{},
--- a/tests/processes/truncatedheads.cpp
+++ b/tests/processes/truncatedheads.cpp
@@ -35,6 +35,13 @@
         m_keepsProbeConnections = keepsProbeConnections;
     }
 
+    /** Whether load probes get the same bytes as requests. */
+    void respondAlikeToProbes(bool isAlike)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isAlike = isAlike;
+    }
+
     unsigned requests() const
     {
         return m_requests;
@@ -47,7 +54,7 @@
         const std::lock_guard lock(m_mutex);
         std::string bytes;
         bool staysOpen = false;
-        if (head.starts_with("GET /health")) {
+        if (head.starts_with("GET /health") && !m_isAlike) {
             staysOpen = m_keepsProbeConnections;
             bytes =
                 fmt::format("HTTP/1.1 200 OK\r\nX-Instance-Id: i\r\nX-Load: 0,0,6,100\r\n{}Content-Length: 0\r\n\r\n",
@@ -68,6 +75,7 @@
     std::string m_response;
     std::size_t m_bytes = 0;
     bool m_keepsProbeConnections = true;
+    bool m_isAlike = false;
     /** The last member, as its threads use the others. */
     RawTarget m_target;
 };
@@ -87,33 +95,45 @@
     CutResponse{"after an interim response",
                 "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + Head + "Content-Length: 4\r\n\r\nbody"}};
 
+const std::string Whole = "X-Request-Id: ID\r\nX-Response-Sig: sig\r\nContent-Length: 6\r\n\r\ntheirs";
+
+/** Responses that HTTP does not allow, with an undefined status or a malformed field. */
+const std::array<CutResponse, 5> MalformedResponses{
+    CutResponse{"status", "HTTP/1.1 000 Trouble\r\n" + Whole},
+    CutResponse{"blank in a name", "HTTP/1.1 200 OK\r\nX-A B: 1\r\n" + Whole},
+    CutResponse{"control character in a name", "HTTP/1.1 200 OK\r\nX-A\x01: 1\r\n" + Whole},
+    CutResponse{"line without a colon", "HTTP/1.1 500 Error\r\nX-A\r\n" + Whole},
+    CutResponse{"blank in a name of an interim response",
+                "HTTP/1.1 103 Early Hints\r\nX-A B: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + Whole}};
+
+/** Announces two targets, so that a request that is tried again does not wait for another one. */
+void announceTargets(const PlatformFleet &fleet, unsigned sequence)
+{
+    for (unsigned i = 0; i < 2; ++i) {
+        const auto body =
+            fmt::format(R"({{"service":"loans","address":"{}","zone":"ravne","version":"v1","slots":6,"state":"ready",)"
+                        R"("cold_left":"0ms","seq":{},"born":1700000000000}})",
+                        fleet.targetAddress(i),
+                        sequence);
+        const auto answer = sendRequest(fleet.controlAddress(), fmt::format("/instances/i-cut-{}", i), "PUT", body);
+        REQUIRE(core::ok(answer));
+        REQUIRE(core::value(answer).status == 200);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a caller gets no success if the target closes before the end of its response")
 {
     PlatformFleet fleet(77, 1);
-    // Two targets, so that a request that is tried again does not wait for another one.
     std::array<CuttingTarget, 2> targets{CuttingTarget(fleet.targetAddress(0)), CuttingTarget(fleet.targetAddress(1))};
-    const auto announce = [&fleet]() {
-        static unsigned sequence = 0;
-        ++sequence;
-        for (unsigned i = 0; i < 2; ++i) {
-            const auto body = fmt::format(
-                R"({{"service":"loans","address":"{}","zone":"ravne","version":"v1","slots":6,"state":"ready",)"
-                R"("cold_left":"0ms","seq":{},"born":1700000000000}})",
-                fleet.targetAddress(i),
-                sequence);
-            const auto answer = sendRequest(fleet.controlAddress(), fmt::format("/instances/i-cut-{}", i), "PUT", body);
-            REQUIRE(core::ok(answer));
-            REQUIRE(core::value(answer).status == 200);
-        }
-    };
+    unsigned sequence = 0;
     const auto respondWith = [&targets](const CutResponse &response, std::size_t bytes, bool keepsProbeConnections) {
         for (auto &target : targets) {
             target.respondWith(response.bytes, bytes, keepsProbeConnections);
         }
     };
-    announce();
+    announceTargets(fleet, ++sequence);
     respondWith(Responses[0], Responses[0].bytes.size(), true);
     REQUIRE(fleet.waitUntilServing());
     auto lastAnnouncement = core::steadyNow();
@@ -121,7 +141,7 @@
         const bool endsByClosing = response.bytes.ends_with("sig\r\n\r\n");
         for (std::size_t bytes = 0; bytes < response.bytes.size(); ++bytes) {
             if (core::steadyNow() - lastAnnouncement > 1s) {
-                announce();
+                announceTargets(fleet, ++sequence);
                 lastAnnouncement = core::steadyNow();
             }
             for (const std::string method : {"GET", "POST"}) {
@@ -143,3 +163,35 @@
         CHECK(core::value(whole).body == (endsByClosing ? "" : "body"));
     }
 }
+
+TEST_CASE("a caller gets no response whose head holds a malformed field or an undefined status")
+{
+    PlatformFleet fleet(97, 1);
+    std::array<CuttingTarget, 2> targets{CuttingTarget(fleet.targetAddress(0)), CuttingTarget(fleet.targetAddress(1))};
+    const auto respondWith = [&targets](const std::string &response, bool alsoToProbes) {
+        for (auto &target : targets) {
+            target.respondAlikeToProbes(alsoToProbes);
+            target.respondWith(response, response.size(), true);
+        }
+    };
+    unsigned sequence = 0;
+    announceTargets(fleet, ++sequence);
+    respondWith(Responses[0].bytes, false);
+    REQUIRE(fleet.waitUntilServing());
+    for (const auto &response : MalformedResponses) {
+        announceTargets(fleet, ++sequence);
+        for (const bool alsoToProbes : {false, true}) {
+            respondWith(response.bytes, alsoToProbes);
+            for (const std::string method : {"GET", "POST"}) {
+                CAPTURE(response.name, alsoToProbes, method);
+                const auto before = targets[0].requests() + targets[1].requests();
+                const auto answer = fleet.request(0, method);
+                REQUIRE(core::ok(answer));
+                CHECK(core::value(answer).status > 500);
+                CHECK(core::value(answer).body.find("theirs") == std::string::npos);
+                // The targets were asked, so that a refusal can't pass for the answer to a malformed response.
+                CHECK((alsoToProbes || targets[0].requests() + targets[1].requests() > before));
+            }
+        }
+    }
+}
