--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -117,7 +117,7 @@
                                 "X-A\tB: 1",
                                 "X-A\x01: 1",
                                 "X-A\x7f: 1",
-                                std::string("X-A\0B: 1", 9),
+                                std::string("X-A\0B: 1", 8),
                                 "X-A\xe9: 1",
                                 "X-A : 1",
                                 ": 1",
