Announce the raw targets of process tests, and check undelivered responses, in one place each

Five process tests wrote the same announcement, one of them new with the reset uploads; announceTarget() does it now. The test of undefined statuses repeated the assertions of checkNotDelivered(), which returns the result for the one that is its own. The bytes on the wire and all assertions are the same; a REQUIRE that got no response now fails on the status 0.

--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -51,18 +51,19 @@
     };
 }
 
-/** Checks that the response of @p script is not delivered, and that it proves nothing about the request. */
-void checkNotDelivered(const ScriptedTarget::Script &script)
+/** Checks that the response of @p script is not delivered, and proves nothing about the request. Returns the result. */
+http::RelayResult checkNotDelivered(const ScriptedTarget::Script &script)
 {
     ScriptedTarget target(script);
     RelayServer server(target.address(), platformRelayOptions(false));
     auto caller = server.caller();
     caller.write(Get);
     CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
-    const auto result = server.nextResult();
+    auto result = server.nextResult();
     CHECK_FALSE(result.sentToCaller);
     CHECK(result.outcome.run == RunState::Unknown);
     CHECK(server.idleConnections() == 0);
+    return result;
 }
 
 } // namespace
@@ -94,20 +95,12 @@
 {
     const std::string status = GENERATE(as<std::string>{}, "000", "001", "099", "600", "999", "0", "20", "2000");
     const std::string body = GENERATE(std::string(), std::string("trouble"), signedAnswer("r1", "forged"));
-    ScriptedTarget target(respondWith(
+    const auto result = checkNotDelivered(respondWith(
         fmt::format("HTTP/1.1 {} Trouble\r\nX-Request-Id: r1\r\nX-Response-Sig: s\r\nContent-Length: {}\r\n\r\n{}",
                     status,
                     body.size(),
                     body)));
-    RelayServer server(target.address(), platformRelayOptions(false));
-    auto caller = server.caller();
-    caller.write(Get);
-    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 502"));
-    const auto result = server.nextResult();
-    CHECK_FALSE(result.sentToCaller);
-    CHECK(result.outcome.run == RunState::Unknown);
     CHECK(result.outcome.failure->code == ErrorCode::TargetFailed);
-    CHECK(server.idleConnections() == 0);
 }
 
 TEST_CASE("a response with a malformed field, also in an interim response or a trailer, is not delivered")
--- a/tests/processes/endlessresponses.cpp
+++ b/tests/processes/endlessresponses.cpp
@@ -186,13 +186,7 @@
     EndlessTarget target(fleet.targetAddress(0));
     unsigned sequence = 0;
     const auto announce = [&fleet, &sequence]() {
-        const auto body = fmt::format(R"({{"service":"loans","address":"{}","zone":"ravne","version":"v1","slots":{},)"
-                                      R"("state":"ready","cold_left":"0ms","seq":{},"born":1700000000000}})",
-                                      fleet.targetAddress(0),
-                                      Requests,
-                                      ++sequence);
-        const auto answer = sendRequest(fleet.controlAddress(), "/instances/i-endless", "PUT", body);
-        return core::ok(answer) && core::value(answer).status == 200;
+        return announceTarget(fleet.controlAddress(), "i-endless", fleet.targetAddress(0), Requests, ++sequence) == 200;
     };
     for (const auto &response : Responses) {
         for (const bool alsoToProbes : {false, true}) {
--- a/tests/processes/pipelinedstop.cpp
+++ b/tests/processes/pipelinedstop.cpp
@@ -123,11 +123,7 @@
 private:
     void announce(const std::string &control)
     {
-        const auto body = fmt::format(R"({{"service":"loans","address":"{}","zone":"ravne","version":"v1","slots":200,)"
-                                      R"("state":"ready","cold_left":"0ms","seq":{},"born":1700000000000}})",
-                                      m_address,
-                                      ++m_sequence);
-        sendRequest(control, "/instances/i-framing", "PUT", body);
+        announceTarget(control, "i-framing", m_address, 200, ++m_sequence);
     }
 
     bool respond(int descriptor, const std::string &head)
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -190,6 +190,20 @@
     exchange.send(reply);
 }
 
+unsigned announceTarget(
+    const std::string &control, const std::string &id, const std::string &address, unsigned slots, unsigned sequence)
+{
+    const auto body = fmt::format(R"({{"service":"{}","address":"{}","zone":"ravne","version":"v1","slots":{},)"
+                                  R"("state":"ready","cold_left":"0ms","seq":{},"born":{}}})",
+                                  PlatformTarget::DefaultService,
+                                  address,
+                                  slots,
+                                  sequence,
+                                  PlatformTarget::FirstIncarnation);
+    const auto answer = sendRequest(control, "/instances/" + id, "PUT", body);
+    return core::ok(answer) ? core::value(answer).status : 0;
+}
+
 PlatformFleet::PlatformFleet(unsigned subnet,
                              unsigned entryHosts,
                              std::chrono::milliseconds timeout,
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -97,6 +97,14 @@
     core::TimerSubscription m_renewal;
 };
 
+/**
+ * Announces once, to the control host at @p control, a target of the default service that is no PlatformTarget: ready,
+ * warm, with the id @p id at @p address. @p sequence increases with each announcement. Returns the status of the
+ * response, or 0.
+ */
+unsigned announceTarget(
+    const std::string &control, const std::string &id, const std::string &address, unsigned slots, unsigned sequence);
+
 /** Control hosts and entry hosts in one failure domain, and a configuration with two routes and one service. */
 class PlatformFleet
 {
--- a/tests/processes/resetuploads.cpp
+++ b/tests/processes/resetuploads.cpp
@@ -67,12 +67,7 @@
         }
         return isSent && !isUpload;
     });
-    const auto body = fmt::format(R"({{"service":"loans","address":"{}","zone":"ravne","version":"v1","slots":6,)"
-                                  R"("state":"ready","cold_left":"0ms","seq":1,"born":1700000000000}})",
-                                  fleet.targetAddress(0));
-    const auto announced = sendRequest(fleet.controlAddress(), "/instances/i-reset", "PUT", body);
-    REQUIRE(core::ok(announced));
-    REQUIRE(core::value(announced).status == 200);
+    REQUIRE(announceTarget(fleet.controlAddress(), "i-reset", fleet.targetAddress(0), 6, 1) == 200);
     REQUIRE(fleet.waitUntilServing());
     constexpr unsigned Callers = 6;
     for (unsigned i = 0; i < Callers; ++i) {
--- a/tests/processes/truncatedatstop.cpp
+++ b/tests/processes/truncatedatstop.cpp
@@ -43,12 +43,7 @@
     unsigned sequence = 0;
     std::thread announcer([&]() {
         while (!isOver) {
-            const auto body =
-                fmt::format(R"({{"service":"loans","address":"{}","zone":"ravne","version":"v1","slots":200,)"
-                            R"("state":"ready","cold_left":"0ms","seq":{},"born":1700000000000}})",
-                            fleet.targetAddress(0),
-                            ++sequence);
-            sendRequest(fleet.controlAddress(), "/instances/i-stream", "PUT", body);
+            announceTarget(fleet.controlAddress(), "i-stream", fleet.targetAddress(0), 200, ++sequence);
             std::this_thread::sleep_for(500ms);
         }
     });
--- a/tests/processes/truncatedheads.cpp
+++ b/tests/processes/truncatedheads.cpp
@@ -110,14 +110,8 @@
 void announceTargets(const PlatformFleet &fleet, unsigned sequence)
 {
     for (unsigned i = 0; i < 2; ++i) {
-        const auto body =
-            fmt::format(R"({{"service":"loans","address":"{}","zone":"ravne","version":"v1","slots":6,"state":"ready",)"
-                        R"("cold_left":"0ms","seq":{},"born":1700000000000}})",
-                        fleet.targetAddress(i),
-                        sequence);
-        const auto answer = sendRequest(fleet.controlAddress(), fmt::format("/instances/i-cut-{}", i), "PUT", body);
-        REQUIRE(core::ok(answer));
-        REQUIRE(core::value(answer).status == 200);
+        const auto id = fmt::format("i-cut-{}", i);
+        REQUIRE(announceTarget(fleet.controlAddress(), id, fleet.targetAddress(i), 6, sequence) == 200);
     }
 }
 
