Don't lose the rest of a message for a name that isn't UTF-8

Cause: text fields of the messages between hosts and of the stored records were proto3 strings. protobuf writes any bytes into one, but ends the parsing of the whole message at one that is not UTF-8. gRPC's callback interface reports such a reply as successful, with the fields before that place; the feed's position is one of them, so the follower never asks for the lost rest again. An unreadable withdrawal stopped the start as well.

Evidence: libprotobuf logs "String field 'pimentoshed.rpc.Target.id' contains invalid UTF-8 data when parsing" at the started entry hosts, and the same for ChangeAnswer.detail at the start of a control host, followed by E6003.

--- a/src/entry/controlfeedclient.cpp
+++ b/src/entry/controlfeedclient.cpp
@@ -209,6 +209,10 @@
         const auto target = rpc::decode(message);
         if (core::ok(target)) {
             updateTarget(core::value(target));
+        } else {
+            core::log(core::LogLevel::Warning,
+                      "target-malformed",
+                      {{"control", followedAddress()}, {"error", core::describe(core::error(target))}});
         }
     }
     m_dependencies.view.updateHosts(rpc::decodeHosts(reply));
--- a/src/rpc/codec.cpp
+++ b/src/rpc/codec.cpp
@@ -80,11 +80,14 @@
     target.service = core::ServiceName(message.service());
     target.domain = core::FailureDomain(message.domain());
     target.address = message.address();
+    target.softwareVersion = message.software_version();
+    if (const auto checked = targets::checkNames(target); !core::ok(checked)) {
+        return core::error(checked);
+    }
     target.version = {message.incarnation(), message.sequence(), message.lease_epoch(), message.withdrawn()};
     target.condition = condition;
     target.origin = core::HostId(message.origin());
     target.slots = message.slots();
-    target.softwareVersion = message.software_version();
     return target;
 }
 
--- a/src/rpc/statecodec.cpp
+++ b/src/rpc/statecodec.cpp
@@ -1,5 +1,6 @@
 #include "rpc/statecodec.h"
 
+#include "core/log.h"
 #include "replication.pb.h"
 #include "rpc/codec.h"
 #include "rpc/commandcodec.h"
@@ -111,6 +112,11 @@
     content.ledger = std::move(core::value(ledger));
     for (const auto &encoded : message.withdrawals()) {
         const auto target = decode(encoded);
+        if (!core::ok(target) && core::error(target).code == core::ErrorCode::AnnouncementMalformed) {
+            // An earlier program accepted it. No target with such names can announce itself any more.
+            core::log(core::LogLevel::Warning, "withdrawal-unreadable", {{"error", describe(core::error(target))}});
+            continue;
+        }
         if (!core::ok(target)) {
             return damaged(core::error(target).detail);
         }
--- a/src/targets/target.h
+++ b/src/targets/target.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/enumtable.h"
+#include "core/error.h"
 #include "core/ids.h"
 
 #include <array>
@@ -77,4 +78,10 @@
     bool operator==(const Target &) const = default;
 };
 
+/**
+ * Checks that the id of @p target can be a header's value, and that its other names are readable or empty. Error:
+ * AnnouncementMalformed.
+ */
+core::Status checkNames(const Target &target);
+
 } // namespace pimentoshed::targets
--- a/tests/rpc/statecodec.cpp
+++ b/tests/rpc/statecodec.cpp
@@ -49,3 +49,21 @@
     const auto bytes = rpc::encodeState(content());
     CHECK_FALSE(core::ok(rpc::decodeState(bytes.substr(0, bytes.size() - 1))));
 }
+
+// Guards against a control host that can't start, because an earlier program kept a text that it cut inside a
+// character.
+TEST_CASE("a snapshot with text that is not UTF-8 restores everything else")
+{
+    auto before = content();
+    const core::Error cut{core::ErrorCode::UnknownDomain, "caf\xc3"};
+    before.ledger.answers.push_back({core::ChangeId("d"), {}, cut});
+    auto unreadable = before.withdrawals.front();
+    unreadable.id = core::TargetId("i-\xff\xfe\x80");
+    const auto readable = before.withdrawals;
+    before.withdrawals.insert(before.withdrawals.begin(), unreadable);
+    const auto after = rpc::decodeState(rpc::encodeState(before));
+    REQUIRE(core::ok(after));
+    CHECK(core::value(after).ledger == before.ledger);
+    CHECK(core::value(after).withdrawals == readable);
+    CHECK(core::ok(changes::Ledger::restore(core::value(after).ledger)));
+}
