Refuse names that can't be read where they enter

The removal of an unreadable id got 503 while the host's knowledge was incomplete, and 400 otherwise. An order that names an unreadable failure domain went through the log before it was refused, and its answer was kept.

Cause: the boundary checked that an id isn't empty and nothing else about names; the id was the path as sent, still percent-encoded.

Change: one rule for names from outside (core::checkName), called by targets::checkNames for announcements at control and entry hosts, and by changes::checkNames for all changes before they are submitted. Refusals are 400 and name the field. The id in the path is percent-decoded first, so that it equals the id that the target compares, and %ff or %00 are seen.

--- a/src/changes/change.h
+++ b/src/changes/change.h
@@ -62,6 +62,12 @@
 /** Returns the id of @p change. */
 const core::ChangeId &idOf(const Change &change);
 
+/**
+ * Checks that the names in @p change are readable. The answer to a change is kept with the names that it refers to.
+ * Error: RequestMalformed.
+ */
+core::Status checkNames(const Change &change);
+
 /** The state after an accepted change. */
 struct Accepted {
     /** The number of accepted changes of any kind. */
--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -481,6 +481,12 @@
 
     void submit(const rpc::Command &command, std::function<void(changes::Answer)> done)
     {
+        if (const auto *change = std::get_if<changes::Change>(&command)) {
+            if (const auto checked = changes::checkNames(*change); !core::ok(checked)) {
+                done(core::error(checked));
+                return;
+            }
+        }
         m_leaderForwarder->submit(
             rpc::encodeCommand(command), [done = std::move(done)](const core::Result<std::string> &answer) {
                 done(core::ok(answer) ? rpc::decodeAnswer(core::value(answer)) : changes::Answer(core::error(answer)));
--- a/src/control/operatorhttphandler.cpp
+++ b/src/control/operatorhttphandler.cpp
@@ -27,7 +27,11 @@
         const bool isUnavailable = code == core::ErrorCode::NoQuorum || code == core::ErrorCode::NotLeader
                                    || code == core::ErrorCode::ChangeNotCommitted
                                    || code == core::ErrorCode::JournalWriteFailed;
-        return http::errorReply(isUnavailable ? status::service_unavailable : status::conflict, core::error(answer));
+        const bool isMalformed = code == core::ErrorCode::RequestMalformed;
+        return http::errorReply(isUnavailable ? status::service_unavailable
+                                : isMalformed ? status::bad_request
+                                              : status::conflict,
+                                core::error(answer));
     }
     const auto &accepted = core::value(answer);
     return http::jsonReply(status::ok, {{"revision", accepted.revision}, {"version", accepted.version}});
--- a/src/entry/targethttphandler.cpp
+++ b/src/entry/targethttphandler.cpp
@@ -47,8 +47,11 @@
     } catch (const json::exception &failure) {
         return malformed(failure.what());
     }
-    if (target.id.empty() || !core::ok(http::parseAddress(target.address))) {
-        return malformed("id or address: expected a non-empty id and an address as IP:PORT");
+    if (!core::ok(http::parseAddress(target.address))) {
+        return malformed("address: expected IP:PORT");
+    }
+    if (const auto checked = targets::checkNames(target); !core::ok(checked)) {
+        return core::error(checked);
     }
     return target;
 }
--- a/tests/changes/ledger.cpp
+++ b/tests/changes/ledger.cpp
@@ -393,3 +393,13 @@
         }
     });
 }
+
+TEST_CASE("a change with a name that nobody can read is recognized before it is submitted")
+{
+    const SetDomainAvailability evacuation{core::ChangeId("a"), core::FailureDomain("caf\xc3"), true, 0};
+    const changes::StartRollout rollout{core::ChangeId("b"), {core::ServiceName("\xff"), "v2", {}}, 0};
+    CHECK(core::error(changes::checkNames(evacuation)).code == core::ErrorCode::RequestMalformed);
+    CHECK(core::error(changes::checkNames(rollout)).code == core::ErrorCode::RequestMalformed);
+    CHECK(core::ok(changes::checkNames(setOut("c", true, 0))));
+    CHECK(core::ok(changes::checkNames(file("d", 0))));
+}
--- a/tests/platform/announcement.cpp
+++ b/tests/platform/announcement.cpp
@@ -55,6 +55,30 @@
     CHECK(core::error(target).code == core::ErrorCode::AnnouncementMalformed);
 }
 
+TEST_CASE("announcements with names that nobody can read are refused")
+{
+    const auto [service, version] = GENERATE(table<std::string, std::string>(
+        {{R"(a\u0000b)", "v1"}, {R"(a\nb)", "v1"}, {std::string(30'000, 'a'), "v1"}, {"s", R"(a\u0000b)"}}));
+    const auto target = read(R"({"address":"10.0.0.1:80","zone":"ravne","slots":6,"state":"ready","seq":4,"service":")"
+                             + service + R"(","version":")" + version + "\"}");
+    REQUIRE_FALSE(core::ok(target));
+    CHECK(core::error(target).code == core::ErrorCode::AnnouncementMalformed);
+}
+
+TEST_CASE("the id in the path is decoded, and refused if it can't be a header's value")
+{
+    CHECK(core::value(platform::readTargetId("i-7f3a91c2")) == core::TargetId("i-7f3a91c2"));
+    CHECK(core::value(platform::readTargetId("10.0.0.1%3A80")) == core::TargetId("10.0.0.1:80"));
+    for (const std::string encoded :
+         {"", "i-\xff\xfe\x80", "i-%ff", "i-%00", "i-%0d%0a", "i-%20", "i-%", "i-%4", "i-%4g"}) {
+        CAPTURE(encoded);
+        const auto id = platform::readTargetId(encoded);
+        REQUIRE_FALSE(core::ok(id));
+        CHECK(core::error(id).code == core::ErrorCode::AnnouncementMalformed);
+    }
+    CHECK_FALSE(core::ok(platform::readTargetId(std::string(65'536, 'i'))));
+}
+
 TEST_CASE("a removal without a body is ordered after the latest announcement of the target")
 {
     targets::Target known;
