Cut text at the end of a character

Cause: both texts were cut at a number of bytes, which makes valid UTF-8 invalid.

The new tests of the cut can't be compiled against the code before, which has no core/text.h.

--- a/src/changes/ledger.cpp
+++ b/src/changes/ledger.cpp
@@ -1,5 +1,7 @@
 #include "changes/ledger.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -11,23 +13,17 @@
 
 using core::ErrorCode;
 
-/** The maximum length of the detail of a refusal, in characters. */
+/** The maximum length of the detail of a refusal, in bytes. */
 constexpr std::size_t MaxDetailLength = 4096;
 
-core::Error refusal(ErrorCode code, std::string detail)
+core::Error refusal(ErrorCode code, std::string_view detail)
 {
-    if (detail.size() > MaxDetailLength) {
-        detail.resize(MaxDetailLength);
-    }
-    return {code, std::move(detail)};
+    return {code, std::string(core::truncate(core::replaceInvalid(detail), MaxDetailLength))};
 }
 
 bool isValidId(const core::ChangeId &id)
 {
-    const auto &text = id.str();
-    return !text.empty() && text.size() <= MaxChangeIdLength && std::all_of(text.begin(), text.end(), [](char c) {
-        return c > ' ' && c <= '~';
-    });
+    return !id.empty() && id.str().size() <= MaxChangeIdLength && core::isVisibleAscii(id.str());
 }
 
 /** Whether no other change can have the same id, so that the answer need not be kept if the change is refused. */
@@ -45,7 +41,7 @@
         detail += detail.empty() ? "" : "; ";
         detail += configuration::describe(mistake);
     }
-    return refusal(mistakes.front().code, std::move(detail));
+    return refusal(mistakes.front().code, detail);
 }
 
 } // namespace
--- a/src/rollouts/rollout.cpp
+++ b/src/rollouts/rollout.cpp
@@ -1,5 +1,7 @@
 #include "rollouts/rollout.h"
 
+#include "core/text.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -9,10 +11,7 @@
 core::Status check(const Order &order)
 {
     const auto &version = order.softwareVersion;
-    const bool isPrintable = std::all_of(version.begin(), version.end(), [](char c) {
-        return c > ' ' && c <= '~';
-    });
-    if (version.empty() || version.size() > MaxVersionLength || !isPrintable) {
+    if (version.empty() || version.size() > MaxVersionLength || !core::isVisibleAscii(version)) {
         return core::Error{core::ErrorCode::ConfigOutOfBounds,
                            fmt::format("a software version has 1 to {} printable characters", MaxVersionLength)};
     }
--- a/tests/changes/ledger.cpp
+++ b/tests/changes/ledger.cpp
@@ -1,5 +1,6 @@
 #include "changes/ledger.h"
 
+#include "core/text.h"
 #include "support/property.h"
 
 #include <algorithm>
@@ -394,6 +395,25 @@
     });
 }
 
+// Guards against a kept refusal that is cut inside a character, after which no earlier program could read its snapshot.
+TEST_CASE("the detail of a refusal is cut at the end of a character")
+{
+    for (std::size_t before = 0; before < 3; ++before) {
+        std::string name(before, 'a');
+        while (name.size() < 5000) {
+            name += "\xe2\x82\xac";
+        }
+        Ledger ledger;
+        const auto answer =
+            ledger.apply(SetDomainAvailability{core::ChangeId("a"), core::FailureDomain(name), true, 0});
+        REQUIRE(codeOf(answer) == core::ErrorCode::UnknownDomain);
+        const auto &detail = core::error(answer).detail;
+        CHECK(core::isReadable(detail));
+        CHECK(name.starts_with(detail));
+        CHECK(detail.size() > 4096 - 3);
+    }
+}
+
 TEST_CASE("a change with a name that nobody can read is recognized before it is submitted")
 {
     const SetDomainAvailability evacuation{core::ChangeId("a"), core::FailureDomain("caf\xc3"), true, 0};
--- a/tests/platform/announcement.cpp
+++ b/tests/platform/announcement.cpp
@@ -1,5 +1,8 @@
 #include "platform/announcement.h"
 
+#include "core/text.h"
+#include "rollouts/rollout.h"
+
 #include <catch2/catch.hpp>
 
 using namespace pimentoshed;
@@ -55,6 +58,28 @@
     CHECK(core::error(target).code == core::ErrorCode::AnnouncementMalformed);
 }
 
+// Guards against a version that is cut inside a character, which an earlier feed could not carry.
+TEST_CASE("a long version is cut at the end of a character")
+{
+    for (const std::string character : {"\xc3\xa9", "\xe2\x82\xac", "\xf0\x9f\x9a\x8c"}) {
+        for (std::size_t before = 0; before < character.size(); ++before) {
+            std::string version(before, 'v');
+            while (version.size() <= rollouts::MaxVersionLength) {
+                version += character;
+            }
+            const auto target =
+                read(R"({"service":"s","address":"10.0.0.1:80","zone":"ravne","slots":6,"state":"ready",)"
+                     R"("seq":4,"version":")"
+                     + version + "\"}");
+            REQUIRE(core::ok(target));
+            const auto &kept = core::value(target).softwareVersion;
+            CHECK(core::isReadable(kept));
+            CHECK(version.starts_with(kept));
+            CHECK(kept.size() > rollouts::MaxVersionLength - character.size());
+        }
+    }
+}
+
 TEST_CASE("announcements with names that nobody can read are refused")
 {
     const auto [service, version] = GENERATE(table<std::string, std::string>(
