Write log lines with broken text as valid JSON

What operators saw: a line with an id that isn't UTF-8 was no valid JSON, so that readers of the log could drop it.

Cause: core::jsonQuote copied all bytes from 0x20 on. Invalid ones are replaced by U+FFFD now, as http::jsonReply did before.

Evidence: the test of core::jsonQuote; found by reading, no log was looked at.

--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -2,6 +2,7 @@
 
 #include "core/enumtable.h"
 #include "core/rankedmutex.h"
+#include "core/text.h"
 
 #include <atomic>
 #include <chrono>
@@ -177,7 +178,7 @@
 {
     constexpr unsigned char FirstPrintable = 0x20;
     std::string quoted = "\"";
-    for (const char character : text) {
+    for (const char character : replaceInvalid(text)) {
         if (character == '"' || character == '\\') {
             quoted += '\\';
             quoted += character;
--- a/tests/core/text.cpp
+++ b/tests/core/text.cpp
@@ -1,5 +1,7 @@
 #include "core/text.h"
 
+#include "core/log.h"
+
 #include <catch2/catch.hpp>
 
 using namespace pimentoshed;
@@ -68,3 +70,9 @@
           == "a\xef\xbf\xbd"
              "b");
 }
+
+// Guards against log lines that are no valid JSON.
+TEST_CASE("a log field with bytes that are no UTF-8 is quoted as valid JSON")
+{
+    CHECK(core::jsonQuote("i-\xff") == "\"i-\xef\xbf\xbd\"");
+}
