Don't make a superseded order anew on top of the newer one

An order that failed five times got 400, which ends an operator's call, although the order was a proper one.

Cause: the loop takes away what the count is there for.

Change: an order is decided once.

--- a/src/control/rolloutcoordinator.cpp
+++ b/src/control/rolloutcoordinator.cpp
@@ -18,8 +18,6 @@
 constexpr auto MovePatience = std::chrono::milliseconds(500);
 /** How long after the end of a rollout its order counts as sent again. Operators resend for some 4 s. */
 constexpr auto ResendTime = std::chrono::seconds(10);
-/** Attempts to start a rollout while other orders for the service get in first. */
-constexpr unsigned MaxAttempts = 5;
 /** Limit on counts that wait to be relayed, above those of 1,000 entry hosts in one period. */
 constexpr std::size_t MaxPending = 20'000;
 
@@ -72,14 +70,7 @@
 
 void RolloutCoordinator::start(const changes::StartRollout &change, const std::function<void(changes::Answer)> &done)
 {
-    startOnce(change, done, MaxAttempts);
-}
-
-void RolloutCoordinator::startOnce(const changes::StartRollout &change,
-                                   const std::function<void(changes::Answer)> &done,
-                                   unsigned attemptsLeft)
-{
-    m_dependencies.confirmCurrent([this, change, done, attemptsLeft](bool isCurrent) {
+    m_dependencies.confirmCurrent([this, change, done](bool isCurrent) {
         if (!isCurrent) {
             done(core::Error{core::ErrorCode::NoQuorum, "the newest rollout of the service can't be confirmed"});
             return;
@@ -92,26 +83,15 @@
         const auto found = active->rollouts.find(change.order.service);
         auto attempt = change;
         attempt.replaces = found == active->rollouts.end() ? 0 : found->second.number;
-        if (attemptsLeft < MaxAttempts) {
-            // The answer to the attempt before is kept under its id.
-            attempt.id = core::ChangeId(fmt::format("{}-{}", change.id.str(), attemptsLeft));
-        }
-        m_dependencies.submit(
-            changes::Change(attempt), [this, change, done, attemptsLeft](const changes::Answer &answer) {
-                const bool isSuperseded =
-                    !core::ok(answer) && core::error(answer).code == core::ErrorCode::ChangeSuperseded;
-                if (isSuperseded && attemptsLeft > 1) {
-                    startOnce(change, done, attemptsLeft - 1);
-                    return;
-                }
-                core::log(core::LogLevel::Info,
-                          "rollout-ordered",
-                          {{"service", change.order.service.str()},
-                           {"version", change.order.softwareVersion},
-                           {"over_s", core::toSeconds(change.order.over)},
-                           {"outcome", core::ok(answer) ? "accepted" : core::describe(core::error(answer))}});
-                done(answer);
-            });
+        m_dependencies.submit(changes::Change(attempt), [change, done](const changes::Answer &answer) {
+            core::log(core::LogLevel::Info,
+                      "rollout-ordered",
+                      {{"service", change.order.service.str()},
+                       {"version", change.order.softwareVersion},
+                       {"over_s", core::toSeconds(change.order.over)},
+                       {"outcome", core::ok(answer) ? "accepted" : core::describe(core::error(answer))}});
+            done(answer);
+        });
     });
 }
 
--- a/src/control/rolloutcoordinator.h
+++ b/src/control/rolloutcoordinator.h
@@ -47,7 +47,7 @@
 
     /**
      * Starts a rollout. An order that is sent again gets its first answer while it runs and for some seconds after its
-     * end. Errors: those of the ledger, NoQuorum.
+     * end. Errors: those of the ledger, NoQuorum. ChangeSuperseded: another order for the service came first.
      */
     void start(const changes::StartRollout &change, const std::function<void(changes::Answer)> &done);
 
@@ -74,9 +74,6 @@
         core::TimePoint at{};
     };
 
-    void startOnce(const changes::StartRollout &change,
-                   const std::function<void(changes::Answer)> &done,
-                   unsigned attemptsLeft);
     /** The newest rollout of the service, if @p order asks for the same and is likely to be a repetition of it. */
     std::optional<rollouts::Rollout> findRepeated(const changes::ActiveConfiguration &active,
                                                   const rollouts::Order &order);
