--- a/tests/platform/controlhttphandler.cpp
+++ b/tests/platform/controlhttphandler.cpp
@@ -92,7 +92,8 @@
 
     std::mutex m_mutex;
     changes::Ledger m_ledger;
-    core::WorkerPool m_pool{1};
+    /** Two, so that an order can be sent while another one is decided. */
+    core::WorkerPool m_pool{2};
     std::shared_ptr<http::Server> m_server;
 };
 
@@ -120,3 +121,15 @@
     CHECK(control.send("POST", "/evacuate/ravne") == 200);
     CHECK(control.domain().changeCount == 1);
 }
+
+// Guards against an acknowledged evacuation that is undone by an order that was still on its way.
+TEST_CASE("an order that changes nothing supersedes earlier ones too")
+{
+    FakeControl control;
+    REQUIRE(control.send("POST", "/evacuate/ravne") == 200);
+    control.beforeDecision = [&control]() {
+        CHECK(control.send("POST", "/evacuate/ravne") == 200);
+    };
+    CHECK(control.send("DELETE", "/evacuate/ravne") == 503);
+    CHECK(control.domain().out);
+}
