Don't carry out orders that may have been given up

Cause: the order names no state. The host reads the count of changes that the order replaces when it gets to it, so the order counts as the newest one, however long it waited.

Change: OrderAge excludes that the order may be older than its caller's patience of a second, after the count was read. It asks StallMonitor, which finds gaps between the beats of the control host's timer on a clock that counts suspended time. A gap ends with the first beat or question after it, whichever comes first. The caller must also be connected still. Otherwise the answer is 503.

--- a/src/control/controlhost.cpp
+++ b/src/control/controlhost.cpp
@@ -12,6 +12,7 @@
 #include "control/targetregistry.h"
 #include "control/targetstore.h"
 #include "core/log.h"
+#include "core/stallmonitor.h"
 #include "core/timerservice.h"
 #include "core/workerpool.h"
 #include "http/server.h"
@@ -438,6 +439,9 @@
         HttpHandlerDependencies dependencies;
         dependencies.id = m_settings.id;
         dependencies.domain = m_settings.domain;
+        dependencies.receiveOrder = [this]() {
+            return OrderAge(m_stalls);
+        };
         dependencies.submitChange = [this](const changes::Change &change, std::function<void(changes::Answer)> done) {
             submit(change, std::move(done));
         };
@@ -446,8 +450,9 @@
             submit(target, std::move(done));
         };
         dependencies.startRollout = [this](const changes::StartRollout &change,
+                                           const OrderAge &age,
                                            const std::function<void(changes::Answer)> &done) {
-            m_rollouts.start(change, done);
+            m_rollouts.start(change, age, done);
         };
         dependencies.activeConfiguration = [this]() {
             return m_state.activeConfiguration();
@@ -742,6 +747,7 @@
 
     void tick()
     {
+        m_stalls.beat();
         const auto now = m_timers.now();
         m_replicator->tick();
         m_leaderForwarder->processWaiting();
@@ -773,6 +779,7 @@
     TargetRegistry m_targets;
     telemetry::Registry m_metrics;
     telemetry::RevisionAgeTracker m_revisionAgeTracker;
+    core::StallMonitor m_stalls{LongestPause};
     membership::MembershipFeed m_membershipFeed;
     membership::TargetKnowledge m_targetKnowledge;
     PeerClients m_peers;
--- a/src/control/httphandlerdependencies.h
+++ b/src/control/httphandlerdependencies.h
@@ -6,6 +6,7 @@
 
 #include "changes/ledger.h"
 #include "consensus/replica.h"
+#include "control/orderage.h"
 #include "http/server.h"
 #include "membership/hosts.h"
 #include "membership/targetknowledge.h"
@@ -24,10 +25,13 @@
     core::HostId id;
     core::FailureDomain domain;
 
+    /** Returns the age of an order that was read at this moment. */
+    std::function<OrderAge()> receiveOrder;
     /** Submits a change to the replicated log; the callback gets its answer. */
     std::function<void(const changes::Change &, std::function<void(changes::Answer)>)> submitChange;
     /** Starts a rollout. An order that is sent again gets its first answer. */
-    std::function<void(const changes::StartRollout &, std::function<void(changes::Answer)>)> startRollout;
+    std::function<void(const changes::StartRollout &, const OrderAge &, std::function<void(changes::Answer)>)>
+        startRollout;
     /** Returns the active configuration. */
     std::function<std::shared_ptr<const changes::ActiveConfiguration>()> activeConfiguration;
     /** Confirms with a quorum. The callback gets whether the active configuration, if read from then on, is current. */
--- a/src/control/operatorhttphandler.cpp
+++ b/src/control/operatorhttphandler.cpp
@@ -26,7 +26,8 @@
         const auto code = core::error(answer).code;
         const bool isUnavailable = code == core::ErrorCode::NoQuorum || code == core::ErrorCode::NotLeader
                                    || code == core::ErrorCode::ChangeNotCommitted
-                                   || code == core::ErrorCode::JournalWriteFailed;
+                                   || code == core::ErrorCode::JournalWriteFailed
+                                   || code == core::ErrorCode::OrderStale;
         const bool isMalformed = code == core::ErrorCode::RequestMalformed;
         return http::errorReply(isUnavailable ? status::service_unavailable
                                 : isMalformed ? status::bad_request
@@ -139,6 +140,7 @@
 
     http::Reply startRollout(http::Exchange &exchange, const core::ServiceName &service) const
     {
+        const auto age = m_dependencies.receiveOrder();
         const auto over = parseNumber(exchange.queryValue("over_ms"));
         changes::StartRollout change;
         change.id = core::ChangeId(std::string(exchange.header("Change-Id")));
@@ -151,9 +153,12 @@
                                      "query parameters version and over_ms"});
         }
         change.order.over = std::chrono::milliseconds(*over);
+        if (exchange.hasCallerLeft()) {
+            return replyTo(core::Error{core::ErrorCode::OrderStale, service.str()});
+        }
         return replyTo(
-            http::await<changes::Answer>(exchange, [this, &change](std::function<void(changes::Answer)> done) {
-                m_dependencies.startRollout(change, std::move(done));
+            http::await<changes::Answer>(exchange, [this, &change, &age](std::function<void(changes::Answer)> done) {
+                m_dependencies.startRollout(change, age, std::move(done));
             }));
     }
 
--- a/src/control/rolloutcoordinator.cpp
+++ b/src/control/rolloutcoordinator.cpp
@@ -68,9 +68,11 @@
 {
 }
 
-void RolloutCoordinator::start(const changes::StartRollout &change, const std::function<void(changes::Answer)> &done)
+void RolloutCoordinator::start(const changes::StartRollout &change,
+                               const OrderAge &age,
+                               const std::function<void(changes::Answer)> &done)
 {
-    m_dependencies.confirmCurrent([this, change, done](bool isCurrent) {
+    m_dependencies.confirmCurrent([this, change, age, done](bool isCurrent) {
         if (!isCurrent) {
             done(core::Error{core::ErrorCode::NoQuorum, "the newest rollout of the service can't be confirmed"});
             return;
@@ -83,6 +85,10 @@
         const auto found = active->rollouts.find(change.order.service);
         auto attempt = change;
         attempt.replaces = found == active->rollouts.end() ? 0 : found->second.number;
+        if (age.mayBeStale()) {
+            done(core::Error{core::ErrorCode::OrderStale, change.order.service.str()});
+            return;
+        }
         m_dependencies.submit(changes::Change(attempt), [change, done](const changes::Answer &answer) {
             core::log(core::LogLevel::Info,
                       "rollout-ordered",
--- a/src/control/rolloutcoordinator.h
+++ b/src/control/rolloutcoordinator.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "changes/ledger.h"
+#include "control/orderage.h"
 #include "core/rankedmutex.h"
 #include "rollouts/conductor.h"
 #include "rollouts/counttable.h"
@@ -48,8 +49,11 @@
     /**
      * Starts a rollout. An order that is sent again gets its first answer while it runs and for some seconds after its
      * end. Errors: those of the ledger, NoQuorum. ChangeSuperseded: another order for the service came first.
+     * OrderStale: the order, of age @p age, may have been given up before its rollout could be started.
      */
-    void start(const changes::StartRollout &change, const std::function<void(changes::Answer)> &done);
+    void start(const changes::StartRollout &change,
+               const OrderAge &age,
+               const std::function<void(changes::Answer)> &done);
 
     /** Records counts of entry hosts. Those that another control host has relayed are not relayed again. */
     void record(const std::vector<rollouts::HostCounts> &counts, bool isRelayed);
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -36,6 +36,7 @@
     NotLeader = 3006,
     ChangeIdReused = 3007,
     RolloutRunning = 3008,
+    OrderStale = 3009,
     NoSuchService = 4001,
     NoTarget = 4002,
     NotCurrent = 4003,
--- a/src/core/time.h
+++ b/src/core/time.h
@@ -16,12 +16,20 @@
 /** Returns the current time. */
 using ClockHook = std::function<TimePoint()>;
 
+/** Tag of the clock that also counts the time for which the machine is suspended; steady_clock doesn't. */
+struct BootClock {
+};
+using BootTime = std::chrono::time_point<BootClock, Duration>;
+
 /** Returns the current time of this machine's monotonic clock. */
 inline TimePoint steadyNow()
 {
     return std::chrono::steady_clock::now();
 }
 
+/** Returns the time since this machine's start, suspended time included. */
+BootTime bootNow();
+
 /** Converts @p duration to seconds, for logs and metrics. */
 inline double toSeconds(Duration duration)
 {
--- a/tests/control/rolloutcoordinator.cpp
+++ b/tests/control/rolloutcoordinator.cpp
@@ -48,6 +48,7 @@
     {
         std::optional<changes::Answer> answer;
         m_hosts.at(host)->start({core::ChangeId("order-" + std::to_string(++m_orders)), order, 0},
+                                control::OrderAge(m_stalls, clock()),
                                 [&answer](const changes::Answer &got) {
                                     answer = got;
                                 });
@@ -65,18 +66,32 @@
     {
         for (const auto end = m_now + duration; m_now < end; m_now += Tick) {
             count(failing);
+            m_stalls.beat();
             for (const auto &host : m_hosts) {
                 host->tick(m_now);
             }
         }
     }
 
+    /** Lets time pass while the processes are frozen. */
+    void freeze(core::Duration duration)
+    {
+        m_now += duration;
+    }
+
     void loseLeader()
     {
         m_leader = (m_leader + 1) % m_hosts.size();
     }
 
 private:
+    core::StallMonitor::BootClockHook clock()
+    {
+        return [this]() {
+            return core::BootTime(m_now.time_since_epoch());
+        };
+    }
+
     RolloutCoordinator::Dependencies dependencies(std::size_t host)
     {
         RolloutCoordinator::Dependencies dependencies;
@@ -129,6 +144,7 @@
     std::size_t m_leader = 1;
     unsigned m_orders = 0;
     core::TimePoint m_now{core::Duration(100s)};
+    core::StallMonitor m_stalls{control::LongestPause, clock()};
     rollouts::HostCounts m_reported{core::HostId("e"), 1, Order.service, 1, core::RouteName("r"), {}};
     double m_due = 0;
     unsigned m_failing = 0;
@@ -202,3 +218,18 @@
     CHECK(core::ok(pool.order(other, 1)));
     CHECK(pool.rollout().order == other);
 }
+
+// Guards against a rollout that went back and starts again by an order that waited while its host was frozen.
+TEST_CASE("An order that may have been given up starts no rollout")
+{
+    Pool pool;
+    REQUIRE(core::ok(pool.order(Order)));
+    pool.run(4s, 100);
+    REQUIRE(pool.rollout().state == rollouts::State::RolledBack);
+    pool.run(11s, 0);
+    pool.freeze(1200ms);
+    const auto answer = pool.order(Order);
+    REQUIRE_FALSE(core::ok(answer));
+    CHECK(core::error(answer).code == core::ErrorCode::OrderStale);
+    CHECK(pool.rollout().number == 1);
+}
