--- a/src/control/operatorhttphandler.cpp
+++ b/src/control/operatorhttphandler.cpp
@@ -20,19 +20,26 @@
 constexpr std::string_view DomainPrefix = "/pimentoshed/v1/failure-domains/";
 constexpr std::string_view RolloutPrefix = "/pimentoshed/v1/rollouts/";
 
+status statusOf(core::ErrorCode code)
+{
+    switch (code) {
+    case core::ErrorCode::NoQuorum:
+    case core::ErrorCode::NotLeader:
+    case core::ErrorCode::ChangeNotCommitted:
+    case core::ErrorCode::JournalWriteFailed:
+    case core::ErrorCode::OrderStale:
+        return status::service_unavailable;
+    case core::ErrorCode::RequestMalformed:
+        return status::bad_request;
+    default:
+        return status::conflict;
+    }
+}
+
 http::Reply replyTo(const changes::Answer &answer)
 {
     if (!core::ok(answer)) {
-        const auto code = core::error(answer).code;
-        const bool isUnavailable = code == core::ErrorCode::NoQuorum || code == core::ErrorCode::NotLeader
-                                   || code == core::ErrorCode::ChangeNotCommitted
-                                   || code == core::ErrorCode::JournalWriteFailed
-                                   || code == core::ErrorCode::OrderStale;
-        const bool isMalformed = code == core::ErrorCode::RequestMalformed;
-        return http::errorReply(isUnavailable ? status::service_unavailable
-                                : isMalformed ? status::bad_request
-                                              : status::conflict,
-                                core::error(answer));
+        return http::errorReply(statusOf(core::error(answer).code), core::error(answer));
     }
     const auto &accepted = core::value(answer);
     return http::jsonReply(status::ok, {{"revision", accepted.revision}, {"version", accepted.version}});
