--- a/tests/processes/hostsignals.cpp
+++ b/tests/processes/hostsignals.cpp
@@ -17,11 +17,6 @@
 namespace
 {
 
-http::Reply respond(const ReceivedRequest & /*request*/)
-{
-    return {};
-}
-
 bool isServed(const core::Result<http::ClientAnswer> &answer)
 {
     return core::ok(answer) && core::value(answer).status == 200;
@@ -96,7 +91,7 @@
 TEST_CASE("SIGHUP while a host reads its settings for the first time doesn't end it")
 {
     PlatformFleet fleet(160, 1);
-    PlatformTarget target("i-fast", fleet.targetAddress(0), 1ms, respond);
+    PlatformTarget target("i-fast", fleet.targetAddress(0), 1ms, succeed);
     REQUIRE(target.announce(fleet.controlAddress()) == 200);
     PendingSettings settings;
     SECTION("entry host")
@@ -119,7 +114,7 @@
 TEST_CASE("a series of SIGHUP with settings that are missing or half written costs no request and delays no stop")
 {
     PlatformFleet fleet(161, 1, 3s);
-    PlatformTarget target("i-slow", fleet.targetAddress(0), 150ms, respond);
+    PlatformTarget target("i-slow", fleet.targetAddress(0), 150ms, succeed);
     REQUIRE(target.announce(fleet.controlAddress()) == 200);
     REQUIRE(fleet.waitUntilServing());
     std::atomic<bool> isOver{false};
--- a/tests/processes/lateorders.cpp
+++ b/tests/processes/lateorders.cpp
@@ -23,11 +23,6 @@
 /** Longer than an operator waits for a response, and shorter than it takes to elect another leader. */
 constexpr auto FreezeTime = 1200ms;
 
-http::Reply succeed(const ReceivedRequest & /*request*/)
-{
-    return {};
-}
-
 /** An order on a connection of its own, whose response nobody reads. */
 class AbandonedOrder
 {
--- a/tests/processes/outofcontact.cpp
+++ b/tests/processes/outofcontact.cpp
@@ -13,11 +13,6 @@
 namespace
 {
 
-http::Reply succeed(const ReceivedRequest & /*request*/)
-{
-    return {};
-}
-
 /** Longer than an entry host may act on its configuration without another confirmation. */
 constexpr auto PermissionEnd = 3500ms;
 
--- a/tests/processes/platformfleet.cpp
+++ b/tests/processes/platformfleet.cpp
@@ -55,6 +55,11 @@
 
 } // namespace
 
+http::Reply succeed(const ReceivedRequest & /*request*/)
+{
+    return {};
+}
+
 bool ReceivedRequest::isProbe() const
 {
     return path == "/health";
--- a/tests/processes/platformfleet.h
+++ b/tests/processes/platformfleet.h
@@ -33,6 +33,9 @@
 /** The response of a PlatformTarget; its id, signature and load are added if they are not among the headers. */
 using TargetScript = std::function<http::Reply(const ReceivedRequest &)>;
 
+/** A TargetScript that responds to each request with an empty 200. */
+http::Reply succeed(const ReceivedRequest &request);
+
 /** A target on the users' platform that announces itself to a control host. */
 class PlatformTarget
 {
--- a/tests/processes/removal.cpp
+++ b/tests/processes/removal.cpp
@@ -14,11 +14,6 @@
 namespace
 {
 
-http::Reply succeed(const ReceivedRequest & /*request*/)
-{
-    return {};
-}
-
 /** How long a confirmed removal may take to reach every entry host. */
 constexpr auto RemovalLimit = 2s;
 
--- a/tests/processes/unreadablenames.cpp
+++ b/tests/processes/unreadablenames.cpp
@@ -11,11 +11,6 @@
 namespace
 {
 
-http::Reply succeed(const ReceivedRequest & /*request*/)
-{
-    return {};
-}
-
 unsigned statusOf(const core::Result<http::ClientAnswer> &answer)
 {
     return core::ok(answer) ? core::value(answer).status : 0;
