Log what the connection of a failed attempt had carried

For the incident in docs/incidents/repeated-refusals.md the log could not tell its hypotheses apart. A line attempt-failed now names the connection, the requests that it had carried, whether one of them had the same id, the responses to other requests that were skipped, and the status of the target. A line refusal-unproven names a response whose status refuses the request without proof that it was not run. pimentoshed_stray_responses_total counts the skipped responses.

No decision depends on it.

--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -75,10 +75,10 @@
         const auto ended = m_relay.run(request, std::move(target));
         const auto &result = ended.back().result;
         completed.targetWait = result.headWaitTime;
-        completed.silentAttempts +=
-            static_cast<unsigned>(std::count_if(ended.begin(), ended.end(), [](const auto &each) {
-                return each.result.isSilent;
-            }));
+        for (const auto &each : ended) {
+            completed.silentAttempts += each.result.isSilent ? 1 : 0;
+            completed.strayResponses += each.result.connection.strayResponses;
+        }
         if (!result.outcome.failure) {
             completed.failure.reset();
             m_log.logIfLate(request, ended.back().assignment, result);
--- a/src/entry/relaystep.cpp
+++ b/src/entry/relaystep.cpp
@@ -85,6 +85,9 @@
     if (result.outcome.failure && !result.isSuperseded) {
         m_log.logFailure(request, *assignment.target, result);
     }
+    if (result.isUnprovenRefusal) {
+        m_log.logUnprovenRefusal(request, *assignment.target, result);
+    }
 }
 
 void RelayStep::recordVersion(const ActiveRequest &request,
--- a/src/entry/requestlog.cpp
+++ b/src/entry/requestlog.cpp
@@ -46,9 +46,27 @@
                {"attempt", static_cast<std::uint64_t>(request.triedTargets.size() + 1)},
                {"stage", core::nameOf(requests::AttemptStageNames, result.stage)},
                {"run", core::nameOf(requests::RunStateNames, result.outcome.run)},
+               {"status", result.targetStatus},
+               {"connection", result.connection.number},
+               {"earlier_requests", static_cast<std::uint64_t>(result.connection.earlierRequests)},
+               {"repeated", result.connection.hadCarriedRequest ? "yes" : "no"},
+               {"strays", result.connection.strayResponses},
                {"error", describe(*result.outcome.failure)}});
 }
 
+void RequestLog::logUnprovenRefusal(const ActiveRequest &request,
+                                    const targets::Target &target,
+                                    const http::RelayResult &result) const
+{
+    core::log(core::LogLevel::Info,
+              "refusal-unproven",
+              {{"request", m_dependencies.protocolHooks.requestId(request.exchange)},
+               {"service", request.service->name.str()},
+               {"target", target.id.str()},
+               {"status", result.targetStatus},
+               {"delivered", result.sentToCaller ? "yes" : "no"}});
+}
+
 void RequestLog::logHedge(const ActiveRequest &request,
                           const targets::Target &first,
                           const targets::Target &second,
--- a/src/entry/requestlog.h
+++ b/src/entry/requestlog.h
@@ -24,6 +24,11 @@
 
     void logFailure(const ActiveRequest &request, const targets::Target &target, const http::RelayResult &result) const;
 
+    /** Logs a response whose status refuses the request, from a target that doesn't prove that it did not run it. */
+    void logUnprovenRefusal(const ActiveRequest &request,
+                            const targets::Target &target,
+                            const http::RelayResult &result) const;
+
     /** Logs, for debugging, a second attempt at @p second that begins @p delay after the one at @p first. */
     void logHedge(const ActiveRequest &request,
                   const targets::Target &first,
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -56,7 +56,7 @@
 
 std::unique_ptr<TargetConnection> ConnectionPool::make()
 {
-    return std::make_unique<TargetConnection>(m_context);
+    return std::make_unique<TargetConnection>(m_context, m_nextNumber++);
 }
 
 void ConnectionPool::give(const std::string &address, std::unique_ptr<TargetConnection> connection, core::TimePoint now)
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -7,10 +7,13 @@
 #include "core/rankedmutex.h"
 #include "core/time.h"
 #include "http/exchange.h"
+#include "requests/carriedrequests.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -21,15 +24,19 @@
 
 /** A connection to a target. Used by one coroutine at a time. */
 struct TargetConnection {
-    explicit TargetConnection(boost::asio::io_context &context)
+    TargetConnection(boost::asio::io_context &context, std::uint64_t connectionNumber)
         : socket(context)
+        , number(connectionNumber)
     {
     }
 
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer{MaxUnparsedBytes};
-    /** Whether it has carried a request before. */
+    /** Identifies the connection in logs; unique in this process. */
+    const std::uint64_t number;
+    /** Whether it has carried a request or a load probe before. */
     bool reused = false;
+    requests::CarriedRequests carried;
     core::TimePoint idleSince{};
 };
 
@@ -60,6 +67,7 @@
     std::unique_ptr<TargetConnection> takeIdleSince(const std::string &address, core::TimePoint since);
 
     boost::asio::io_context &m_context;
+    std::atomic<std::uint64_t> m_nextNumber{1};
     mutable core::RankedMutex m_mutex{core::LockRank::Connections};
     std::unordered_map<std::string, std::vector<std::unique_ptr<TargetConnection>>> m_idle;
 };
--- a/src/http/protocolhooks.h
+++ b/src/http/protocolhooks.h
@@ -42,6 +42,9 @@
     AnswerKind kind = AnswerKind::Genuine;
     /** Empty if the response is not from the target of this request. */
     std::optional<routing::TargetSignals> signals;
+    /** Whether callers take the status for a proof that the request was not run, although the response proves nothing.
+     */
+    bool isUnprovenRefusal = false;
 };
 
 /** What a refusal is made from. */
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -12,6 +12,7 @@
 #include "requests/attemptstage.h"
 #include "requests/outcome.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -44,6 +45,17 @@
     MinimumRate minimumRate;
 };
 
+/** How an attempt used its connection. */
+struct ConnectionUse {
+    std::uint64_t number = 0;
+    /** Requests that the connection had carried before. */
+    std::size_t earlierRequests = 0;
+    /** Whether a request with the same id was among them. */
+    bool hadCarriedRequest = false;
+    /** Responses to other requests that were skipped. */
+    unsigned strayResponses = 0;
+};
+
 /** The result of one attempt. */
 struct RelayResult {
     requests::RequestOutcome outcome;
@@ -64,6 +76,11 @@
     bool isSilent = false;
     /** Time spent waiting for the head of the response after the request's head was sent. */
     core::Duration headWaitTime{};
+    ConnectionUse connection;
+    /** The status of the latest response on the connection; 0 if there was none. */
+    unsigned targetStatus = 0;
+    /** Whether callers take that status for a proof that the request was not run, which the response doesn't give. */
+    bool isUnprovenRefusal = false;
 };
 
 /**
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -65,6 +65,7 @@
     : m_exchange(exchange)
     , m_options(options)
     , m_protocolHooks(options.protocolHooks == nullptr ? defaultHooks() : *options.protocolHooks)
+    , m_requestId(m_protocolHooks.requestId(exchange))
     , m_connection(std::move(connection))
     , m_caller(exchange.stream())
     , m_yield(yield)
@@ -212,8 +213,16 @@
     return !m_failure;
 }
 
+void RelayAttempt::recordUse()
+{
+    auto &carried = m_connection->carried;
+    m_connectionUse = {m_connection->number, carried.count(), carried.contains(m_requestId), 0};
+    carried.add(m_requestId);
+}
+
 bool RelayAttempt::sendHead()
 {
+    recordUse();
     std::size_t headBytes = 0;
     const auto bytes = requestBytes(headBytes);
     boost::system::error_code failure;
@@ -351,6 +360,7 @@
         return true;
     case AnswerKind::Stray:
         // It arrived before this request's own response, which may still follow on the connection.
+        ++m_connectionUse.strayResponses;
         if (!skipAnswer()) {
             abort(ErrorCode::TargetFailed, "could not skip a stray response to another request");
         }
@@ -565,6 +575,9 @@
     const bool shedProvesNotRun = m_options.shedIsNotRun || m_classification.kind == AnswerKind::NotRun;
     result.outcome = {requests::provenRunState(m_stage, shedProvesNotRun), m_failure};
     result.signals = m_classification.signals;
+    result.connection = m_connectionUse;
+    result.targetStatus = m_answerParser && m_answerParser->is_header_done() ? m_answerParser->get().result_int() : 0;
+    result.isUnprovenRefusal = m_classification.isUnprovenRefusal;
     result.serverError = m_serverError;
     const bool hasDeadlinePassed = m_failure && m_failure->code == ErrorCode::DeadlinePassed;
     result.isSilent = (hasDeadlinePassed || m_isSuperseded) && m_stage == AttemptStage::HeadSent && !hasSign();
--- a/src/http/relayattempt.h
+++ b/src/http/relayattempt.h
@@ -68,6 +68,8 @@
     /** Cancels the operations of the caller's connection, unless it is left to another attempt. */
     void cancelCaller();
     void reachStage(requests::AttemptStage stage);
+    /** Records the request in the history of the connection. */
+    void recordUse();
 
     bool connect();
     /**
@@ -121,7 +123,9 @@
     const ProtocolHooks &m_protocolHooks;
     /** The request's head as it was sent to the target. */
     RequestHead m_sentHead;
+    const std::string m_requestId;
     AnswerClassification m_classification;
+    ConnectionUse m_connectionUse;
     std::unique_ptr<TargetConnection> m_connection;
     boost::beast::tcp_stream &m_caller;
     Yield m_yield;
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -16,6 +16,7 @@
 enum class Metric : std::uint8_t {
     Requests,
     SilentAttempts,
+    StrayResponses,
     RequestsInProgress,
     RequestDuration,
     RequestAddedLatency,
@@ -67,6 +68,10 @@
               MetricKind::Counter,
               "pimentoshed_silent_attempts_total",
               "Attempts that ended without any sign of the target, by service"},
+    MetricRow{Metric::StrayResponses,
+              MetricKind::Counter,
+              "pimentoshed_stray_responses_total",
+              "Responses to other requests that attempts skipped, by service"},
     MetricRow{Metric::RequestsInProgress,
               MetricKind::Gauge,
               "pimentoshed_requests_in_progress",
--- a/src/telemetry/registry.cpp
+++ b/src/telemetry/registry.cpp
@@ -124,6 +124,9 @@
     if (request.silentAttempts > 0) {
         add(Metric::SilentAttempts, {{"service", request.service}}, request.silentAttempts);
     }
+    if (request.strayResponses > 0) {
+        add(Metric::StrayResponses, {{"service", request.service}}, request.strayResponses);
+    }
     observe(Metric::RequestDuration, {{"service", request.service}}, request.duration);
     observe(Metric::RequestAddedLatency, {{"service", request.service}}, request.duration - request.targetWait);
 }
--- a/src/telemetry/registry.h
+++ b/src/telemetry/registry.h
@@ -30,6 +30,8 @@
     core::Duration targetWait{};
     /** Attempts that ended without any sign of the target. */
     unsigned silentAttempts = 0;
+    /** Responses to other requests that its attempts skipped. */
+    unsigned strayResponses = 0;
 };
 
 /** Holds the metrics of MetricTable; counters never decrease. Thread-safe, except for beforeExposition(). */
