Send each request at most once on a connection to a target

Callers got 503 for requests that must not run twice and that a target ran.

Cause: a response is matched to the request on its connection by the id alone. A target may send the copy of a refusal where the next response is due; if the refused request is sent again on that connection, the copy bears its id and counts as proof that it was not run. The connection pool knows addresses only and returns the connection used last, so a retry under another target id, or a caller that repeats its id, gets just that one.

requests::CarriedRequests records what a connection has carried, and the pool passes over a connection that has carried the request, also for the load probe that precedes it. A response with the id of the request can then only belong to its one sending there. No response needs to be known as a copy, so it holds for refusals, failures and successes.

--- a/src/entry/requestlog.cpp
+++ b/src/entry/requestlog.cpp
@@ -49,7 +49,6 @@
                {"status", result.targetStatus},
                {"connection", result.connection.number},
                {"earlier_requests", static_cast<std::uint64_t>(result.connection.earlierRequests)},
-               {"repeated", result.connection.hadCarriedRequest ? "yes" : "no"},
                {"strays", result.connection.strayResponses},
                {"error", describe(*result.outcome.failure)}});
 }
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -1,5 +1,6 @@
 #include "http/connectionpool.h"
 
+#include <cstddef>
 #include <utility>
 
 namespace pimentoshed::http
@@ -29,23 +30,31 @@
 {
 }
 
-std::unique_ptr<TargetConnection> ConnectionPool::take(const std::string &address)
+std::unique_ptr<TargetConnection> ConnectionPool::take(const std::string &address, std::string_view requestId)
 {
-    return takeIdleSince(address, core::TimePoint::min());
+    return takeIdleSince(address, requestId, core::TimePoint::min());
 }
 
-std::unique_ptr<TargetConnection> ConnectionPool::takeFresh(const std::string &address, core::TimePoint now)
+std::unique_ptr<TargetConnection> ConnectionPool::takeFresh(const std::string &address,
+                                                            std::string_view requestId,
+                                                            core::TimePoint now)
 {
-    return takeIdleSince(address, now - MaxFreshIdle);
+    return takeIdleSince(address, requestId, now - MaxFreshIdle);
 }
 
-std::unique_ptr<TargetConnection> ConnectionPool::takeIdleSince(const std::string &address, core::TimePoint since)
+std::unique_ptr<TargetConnection> ConnectionPool::takeIdleSince(const std::string &address,
+                                                                std::string_view requestId,
+                                                                core::TimePoint since)
 {
     const core::Lock lock(m_mutex);
     auto &idle = m_idle[address];
-    while (!idle.empty() && idle.back()->idleSince >= since) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    for (auto at = idle.size(); at > 0 && idle[at - 1]->idleSince >= since; --at) {
+        const auto position = idle.begin() + static_cast<std::ptrdiff_t>(at - 1);
+        if (!(*position)->carried.mayCarry(requestId)) {
+            continue;
+        }
+        auto connection = std::move(*position);
+        idle.erase(position);
         if (isOpenAndSilent(connection->socket)) {
             connection->reused = true;
             return connection;
@@ -61,6 +70,9 @@
 
 void ConnectionPool::give(const std::string &address, std::unique_ptr<TargetConnection> connection, core::TimePoint now)
 {
+    if (connection->carried.isFull()) {
+        return;
+    }
     connection->idleSince = now;
     const core::Lock lock(m_mutex);
     auto &idle = m_idle[address];
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -46,16 +47,21 @@
 public:
     explicit ConnectionPool(boost::asio::io_context &context);
 
-    /** Returns an idle connection to @p address that the target has not closed, or a new one that is not connected. */
-    std::unique_ptr<TargetConnection> take(const std::string &address);
+    /**
+     * Returns an idle connection to @p address that the target has not closed and that may carry the request with
+     * @p requestId, or a new one that is not connected.
+     */
+    std::unique_ptr<TargetConnection> take(const std::string &address, std::string_view requestId);
 
     /** As take(), but only for connections used so recently that their target can't have closed them yet. */
-    std::unique_ptr<TargetConnection> takeFresh(const std::string &address, core::TimePoint now);
+    std::unique_ptr<TargetConnection> takeFresh(const std::string &address,
+                                                std::string_view requestId,
+                                                core::TimePoint now);
 
     /** Returns a new connection that is not connected. */
     std::unique_ptr<TargetConnection> make();
 
-    /** Keeps @p connection for a later request, or closes it if enough are idle for @p address. */
+    /** Keeps @p connection for a later request, or closes it if it is full or enough are idle for @p address. */
     void give(const std::string &address, std::unique_ptr<TargetConnection> connection, core::TimePoint now);
 
     /** Closes the connections that were idle for longer than @p limit. */
@@ -64,7 +70,9 @@
     std::size_t idleCount() const;
 
 private:
-    std::unique_ptr<TargetConnection> takeIdleSince(const std::string &address, core::TimePoint since);
+    std::unique_ptr<TargetConnection> takeIdleSince(const std::string &address,
+                                                    std::string_view requestId,
+                                                    core::TimePoint since);
 
     boost::asio::io_context &m_context;
     std::atomic<std::uint64_t> m_nextNumber{1};
--- a/src/http/loadprobe.cpp
+++ b/src/http/loadprobe.cpp
@@ -163,14 +163,17 @@
     const auto round = std::make_shared<ProbeRound>(exchange.stream().get_executor(), options.protocolHooks);
     std::vector<std::shared_ptr<Probe>> probes;
     probes.reserve(targets.size());
+    // The request may follow on the connection of its probe.
+    const auto requestId = options.protocolHooks.requestId(exchange);
     for (const auto &target : targets) {
         const auto endpoint = parseAddress(target.address);
         if (!core::ok(endpoint)) {
             probes.push_back(nullptr);
             continue;
         }
-        probes.push_back(std::make_shared<Probe>(
-            round, pool.take(target.address), encode(options.protocolHooks.makeLoadProbe(options.path, target.id))));
+        probes.push_back(std::make_shared<Probe>(round,
+                                                 pool.take(target.address, requestId),
+                                                 encode(options.protocolHooks.makeLoadProbe(options.path, target.id))));
         probes.back()->start(core::value(endpoint));
     }
     round->timer.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(options.timeout));
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -18,12 +18,19 @@
 
 } // namespace
 
+const ProtocolHooks &RelayOptions::hooks() const
+{
+    static const auto defaultHooks = defaultProtocolHooks();
+    return protocolHooks == nullptr ? defaultHooks : *protocolHooks;
+}
+
 RelayResult relay(Exchange &exchange, ConnectionPool &pool, const RelayOptions &options)
 {
     // Whether a target has closed an idle connection may show only when it is used, and then it may be unknown whether
     // the request ran. A request that must not run twice therefore gets only a recently used connection.
-    auto connection =
-        options.idempotent ? pool.take(options.address) : pool.takeFresh(options.address, core::steadyNow());
+    const auto requestId = options.hooks().requestId(exchange);
+    auto connection = options.idempotent ? pool.take(options.address, requestId)
+                                         : pool.takeFresh(options.address, requestId, core::steadyNow());
     return relayOn(std::move(connection), exchange, pool, options);
 }
 
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -43,6 +43,8 @@
     /** Must outlive the attempt. If null, defaultProtocolHooks() are used. */
     const ProtocolHooks *protocolHooks = nullptr;
     MinimumRate minimumRate;
+
+    const ProtocolHooks &hooks() const;
 };
 
 /** How an attempt used its connection. */
@@ -50,8 +52,6 @@
     std::uint64_t number = 0;
     /** Requests that the connection had carried before. */
     std::size_t earlierRequests = 0;
-    /** Whether a request with the same id was among them. */
-    bool hadCarriedRequest = false;
     /** Responses to other requests that were skipped. */
     unsigned strayResponses = 0;
 };
--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -32,13 +32,6 @@
     return std::chrono::duration_cast<asio::steady_timer::duration>(moment - core::steadyNow());
 }
 
-/** The default hooks, made once because attempts only read them. */
-const ProtocolHooks &defaultHooks()
-{
-    static const auto hooks = defaultProtocolHooks();
-    return hooks;
-}
-
 bool closedByPeer(const beast::error_code &failure)
 {
     return failure == message::error::end_of_stream || failure == asio::error::eof
@@ -64,7 +57,7 @@
                            const SharedCaller *shared)
     : m_exchange(exchange)
     , m_options(options)
-    , m_protocolHooks(options.protocolHooks == nullptr ? defaultHooks() : *options.protocolHooks)
+    , m_protocolHooks(options.hooks())
     , m_requestId(m_protocolHooks.requestId(exchange))
     , m_connection(std::move(connection))
     , m_caller(exchange.stream())
@@ -216,7 +209,7 @@
 void RelayAttempt::recordUse()
 {
     auto &carried = m_connection->carried;
-    m_connectionUse = {m_connection->number, carried.count(), carried.contains(m_requestId), 0};
+    m_connectionUse = {m_connection->number, carried.count(), 0};
     carried.add(m_requestId);
 }
 
--- a/src/http/relayrace.cpp
+++ b/src/http/relayrace.cpp
@@ -135,7 +135,9 @@
     /** Runs an attempt, on a new connection once more if a reused one turns out to be closed. */
     RelayResult runLane(Entrant entrant, RaceEntry entry, const Yield &yield)
     {
-        auto connection = entry.connection ? std::move(entry.connection) : m_pool.take(entry.options.address);
+        auto connection = entry.connection
+                              ? std::move(entry.connection)
+                              : m_pool.take(entry.options.address, entry.options.hooks().requestId(m_exchange));
         auto result = cancelledResult(entrant);
         bool isStale = false;
         do {
--- a/src/requests/carriedrequests.cpp
+++ b/src/requests/carriedrequests.cpp
@@ -18,9 +18,14 @@
 
 } // namespace
 
-bool CarriedRequests::contains(std::string_view id) const
+bool CarriedRequests::mayCarry(std::string_view id) const
 {
-    return !id.empty() && std::find(m_ids.begin(), m_ids.end(), hash(id)) != m_ids.end();
+    return !isFull() && (id.empty() || std::find(m_ids.begin(), m_ids.end(), hash(id)) == m_ids.end());
+}
+
+bool CarriedRequests::isFull() const
+{
+    return m_ids.size() >= MaxRequests;
 }
 
 void CarriedRequests::add(std::string_view id)
--- a/src/requests/carriedrequests.h
+++ b/src/requests/carriedrequests.h
@@ -12,12 +12,20 @@
 namespace pimentoshed::requests
 {
 
-/** The requests that were sent on one connection, by the id that responses repeat. Used by one thread at a time. */
+/**
+ * A connection carries each request once: a target may repeat a response, and the id that tells to which request a
+ * response belongs can't tell it from the response to a later one with the same id. Used by one thread at a time.
+ */
 class CarriedRequests
 {
 public:
-    /** Whether a request with @p id was sent. An empty id, which no response repeats, is never known. */
-    bool contains(std::string_view id) const;
+    /** Requests after which a connection carries no more, which bounds its record to 8 KB. */
+    static constexpr std::size_t MaxRequests = 1000;
+
+    /** Whether a request with @p id may be sent. An empty id, which no response repeats, may be sent again. */
+    bool mayCarry(std::string_view id) const;
+
+    bool isFull() const;
 
     /** Records that a request with @p id was sent. */
     void add(std::string_view id);
