Don't pass on a refusal that proves nothing for a request that must not run twice

Callers got a target's 503, 429 or 408 for requests that the target had run.

Cause: on the users' platform these statuses promise that the request did not run and never will, but only a response with X-Not-Executed, or status 421, states that of a target. The entry host returned a target's status unchanged, with or without the proof.

Two sentences of the platform's protocol are at odds here: a target's status is returned unchanged, and callers take these statuses for a promise. Returned unchanged, a caller sends a request again that may have run. So such a response now counts as a failure of unknown outcome: the caller gets 502, unsigned, which promises nothing. For requests that may run again it is returned as before.

--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -448,6 +448,12 @@
     }
     constexpr unsigned FirstServerError = 500;
     m_serverError = m_answerParser->get().result_int() >= FirstServerError;
+    if (m_classification.isUnprovenRefusal && !m_options.idempotent) {
+        rejectAnswer(AttemptStage::AnswerStarted,
+                     fmt::format("the target refused the request with status {}, without proof that it did not run it",
+                                 m_answerParser->get().result_int()));
+        return;
+    }
     const bool isReplaceable = !m_options.passServerErrors || (m_shared != nullptr && m_shared->hasOther());
     if (m_serverError && isReplaceable) {
         rejectAnswer(AttemptStage::AnswerStarted,
--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -176,6 +176,22 @@
     CHECK(result.outcome.failure->code == ErrorCode::TargetFailed);
 }
 
+TEST_CASE("a target's status that refuses a request without proof is passed on only if the request may run again")
+{
+    const std::string status = GENERATE(as<std::string>{}, "503 Busy", "429 Many", "408 Late");
+    const bool isIdempotent = GENERATE(false, true);
+    ScriptedTarget target(respondWith(
+        fmt::format("HTTP/1.1 {}\r\nX-Request-Id: r1\r\nX-Response-Sig: s\r\nContent-Length: 0\r\n\r\n", status)));
+    RelayServer server(target.address(), platformRelayOptions(isIdempotent));
+    auto caller = server.caller();
+    caller.write(Get);
+    CHECK(caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 " + (isIdempotent ? status : "502")));
+    const auto result = server.nextResult();
+    CHECK(result.outcome.run == (isIdempotent ? RunState::Ran : RunState::Unknown));
+    CHECK(result.isUnprovenRefusal);
+    CHECK(server.idleConnections() == 1);
+}
+
 TEST_CASE("a caller that disconnects after pipelining requests ends the attempt in progress")
 {
     ScriptedTarget target([](RawSocket &socket, unsigned) {
