Close a connection that has brought a response to another request

A target that sends one response too many may send further ones, and a load probe, which has no id, can't tell a copy of an earlier probe's response from its own. Such a connection was kept, however many responses had been skipped on it.

Now it is closed after the exchange in which that shows. The new case of tests/platform/responserelay.cpp fails on the parent commit in both variants.

--- a/src/http/relayattempt.cpp
+++ b/src/http/relayattempt.cpp
@@ -372,7 +372,7 @@
 {
     reachStage(stage);
     if (skipAnswer()) {
-        m_canReuse = m_answerParser->keep_alive() && m_connection->buffer.size() == 0;
+        m_canReuse = isInStep();
     }
     if (!m_failure && m_canReuse) {
         m_failure = core::Error{ErrorCode::TargetFailed, std::move(reason)};
@@ -382,6 +382,11 @@
     abort(ErrorCode::TargetFailed, std::move(reason));
 }
 
+bool RelayAttempt::isInStep() const
+{
+    return m_answerParser->keep_alive() && m_connection->buffer.size() == 0 && m_connectionUse.strayResponses == 0;
+}
+
 bool RelayAttempt::skipAnswer()
 {
     constexpr std::uint64_t MaxSkippedBytes = 65536;
@@ -482,7 +487,7 @@
         if (endsWithConnection) {
             m_exchange.resetIfCut(false);
         }
-        m_canReuse = m_answerParser->keep_alive() && m_connection->buffer.size() == 0;
+        m_canReuse = isInStep();
         return;
     }
     if (m_sentToCaller || !m_failure) {
--- a/src/http/relayattempt.h
+++ b/src/http/relayattempt.h
@@ -101,6 +101,8 @@
     bool isForThisRequest();
     /** Ends the attempt without sending the response to the caller. The connection is kept if the response ends. */
     void rejectAnswer(requests::AttemptStage stage, std::string reason);
+    /** Whether the connection stays open after the response that was read and has brought nothing else. */
+    bool isInStep() const;
     /** Reads and discards the rest of a response. Returns whether another response can follow on the connection. */
     bool skipAnswer();
     void relayAnswer();
--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -77,7 +77,25 @@
     const auto head = caller.readUntil("\r\n\r\n");
     CHECK(head.find("X-Request-Id: r1") != std::string::npos);
     CHECK(caller.read(4) == "ours");
-    CHECK(server.nextResult().outcome.run == RunState::Ran);
+    const auto result = server.nextResult();
+    CHECK(result.outcome.run == RunState::Ran);
+    CHECK(result.connection.strayResponses == 1);
+}
+
+// Guards against further responses too many on a connection that has brought one already.
+TEST_CASE("a connection that has brought a response to another request is not used again")
+{
+    const std::string stray = "HTTP/1.1 503 Busy\r\nX-Request-Id: r0\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const auto answer = GENERATE_COPY(
+        signedAnswer("r1", "ours"),
+        std::string("HTTP/1.1 503 Busy\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+    ScriptedTarget target(respondWith(stray + answer));
+    RelayServer server(target.address(), platformRelayOptions(false));
+    auto caller = server.caller();
+    caller.write(Get);
+    caller.readUntil("\r\n\r\n");
+    CHECK(server.nextResult().connection.strayResponses == 1);
+    CHECK(server.idleConnections() == 0);
 }
 
 TEST_CASE("a truncated, malformed or unsigned response is not delivered and leaves the run state unknown")
