Don't let a resend that did not run prove that its first sending didn't

By review; not seen by users. A request that may run again is sent on a kept connection, which the target closes; whether it ran is unknown. It is sent once more on a new connection, and that sending is refused, or makes no connection. Only the second result was kept: the request counted as not run and, if no connection was made, as never sent. Its caller got 503, and if a configuration had made the route unsafe meanwhile, the retry rules allowed another attempt.

Now the result of the resend is combined with that of the first sending, and a request whose outcome is unknown counts as sent. The new case of tests/platform/responserelay.cpp fails on the parent commit (not-run instead of unknown).

--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -24,7 +24,8 @@
     request.triedTargets.push_back(id);
     const auto earlier = request.attemptsSent == 0 ? RunState::NotRun : request.outcome.run;
     request.outcome = {requests::combineRunStates(earlier, result.outcome.run), result.outcome.failure};
-    if (result.stage >= requests::AttemptStage::HeadSent) {
+    // Before a resend that did not reach the target, it may have got the request.
+    if (result.stage >= requests::AttemptStage::HeadSent || result.outcome.run != RunState::NotRun) {
         ++request.attemptsSent;
     }
 }
--- a/src/http/relay.cpp
+++ b/src/http/relay.cpp
@@ -24,6 +24,15 @@
     return protocolHooks == nullptr ? defaultHooks : *protocolHooks;
 }
 
+RelayResult combineResults(const RelayResult &first, RelayResult resent)
+{
+    if (resent.outcome.run == requests::RunState::NotRun) {
+        resent.outcome.run = first.outcome.run;
+    }
+    resent.connection.strayResponses += first.connection.strayResponses;
+    return resent;
+}
+
 RelayResult relay(Exchange &exchange, ConnectionPool &pool, const RelayOptions &options)
 {
     // Whether a target has closed an idle connection may show only when it is used, and then it may be unknown whether
@@ -51,7 +60,7 @@
     if (first.wasStale() && canResend(result, options)) {
         exchange.body().rewind();
         RelayAttempt second(exchange, options, pool.make(), exchange.yield());
-        result = second.run();
+        result = combineResults(result, second.run());
         second.returnConnection(pool);
         return result;
     }
--- a/src/http/relay.h
+++ b/src/http/relay.h
@@ -83,6 +83,9 @@
     bool isUnprovenRefusal = false;
 };
 
+/** Returns @p resent, the result of sending a request again after @p first, with what both prove together. */
+RelayResult combineResults(const RelayResult &first, RelayResult resent);
+
 /**
  * Runs one attempt within the exchange's coroutine. If a reused connection turns out to be closed, the request is sent
  * once more on a new connection to the same target, provided that it is idempotent or proven not to have run.
--- a/src/http/relayrace.cpp
+++ b/src/http/relayrace.cpp
@@ -146,7 +146,7 @@
             }
             RelayAttempt attempt(m_exchange, entry.options, std::move(connection), yield, &laneOf(entrant).shared);
             laneOf(entrant).attempt = &attempt;
-            result = attempt.run();
+            result = isStale ? combineResults(result, attempt.run()) : attempt.run();
             laneOf(entrant).attempt = nullptr;
             attempt.returnConnection(m_pool);
             isStale = !isStale && attempt.wasStale();
--- a/tests/platform/responserelay.cpp
+++ b/tests/platform/responserelay.cpp
@@ -210,6 +210,30 @@
     CHECK(server.idleConnections() == 1);
 }
 
+// Guards against the proof of a resend that is taken for one about the sending before it.
+TEST_CASE("a refusal of a request that was sent again on a new connection does not prove that it was not run")
+{
+    ScriptedTarget target([](RawSocket &socket, unsigned connection) {
+        socket.readUntil("\r\n\r\n");
+        if (connection == 0) {
+            socket.write(signedAnswer("r1", "ours"));
+            socket.readUntil("\r\n\r\n");
+            return;
+        }
+        socket.write("HTTP/1.1 503 Busy\r\nX-Request-Id: r2\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    RelayServer server(target.address(), platformRelayOptions(true));
+    auto caller = server.caller();
+    caller.write(Get);
+    caller.readUntil("\r\n\r\n");
+    CHECK(server.nextResult().outcome.run == RunState::Ran);
+    auto second = server.caller();
+    second.write("GET /a HTTP/1.1\r\nHost: x\r\nX-Request-Id: r2\r\n\r\n");
+    second.readUntil("\r\n\r\n");
+    CHECK(server.nextResult().outcome.run == RunState::Unknown);
+    CHECK(target.accepted() == 2);
+}
+
 TEST_CASE("a caller that disconnects after pipelining requests ends the attempt in progress")
 {
     ScriptedTarget target([](RawSocket &socket, unsigned) {
