Count an unproven 429 or 408 as an answer of the target, as before

Since such a status is not passed on for requests that must not run twice, it counted as a failure of its target, so that a service that limits the rate of its callers would have had its targets ejected and its rollouts rolled back. A 503 counts as a failure, as it did before.

--- a/src/entry/relaystep.cpp
+++ b/src/entry/relaystep.cpp
@@ -26,7 +26,7 @@
     if (result.serverError) {
         return routing::AttemptOutcome::Failed;
     }
-    if (!result.outcome.failure) {
+    if (!result.outcome.failure || result.isUnprovenRefusal) {
         return routing::AttemptOutcome::Answered;
     }
     switch (result.outcome.failure->code) {
