--- a/tests/processes/repeatedrefusals.cpp
+++ b/tests/processes/repeatedrefusals.cpp
@@ -100,7 +100,7 @@
 // Guards against the copy of a refusal that is taken for the response to the same request on the same connection.
 TEST_CASE("a caller that sends a refused request again is not told that it was not run when it runs")
 {
-    PlatformFleet fleet(175, 1);
+    PlatformFleet fleet(178, 1);
     std::set<std::string> seen;
     const RepeatingTarget target(fleet.targetAddress(0), [&seen](const std::string &, const std::string &id) {
         const bool isFirst = seen.insert(id).second;
@@ -125,7 +125,7 @@
 // Guards against the copy of a refusal to a former target id that is taken for the response to the address's new one.
 TEST_CASE("a request that is sent to one address under two target ids is not answered as not run when it runs")
 {
-    PlatformFleet fleet(176, 1);
+    PlatformFleet fleet(179, 1);
     const RepeatingTarget target(fleet.targetAddress(0), [](const std::string &head, const std::string &id) {
         const bool isForFormer = headerOf(head, "X-Expect-Instance") == "i-former";
         return isForFormer ? response("421 Misdirected Request", id, "X-Not-Executed: 1\r\n") : "";
