--- a/src/entry/attempts.cpp
+++ b/src/entry/attempts.cpp
@@ -24,7 +24,7 @@
     request.triedTargets.push_back(id);
     const auto earlier = request.attemptsSent == 0 ? RunState::NotRun : request.outcome.run;
     request.outcome = {requests::combineRunStates(earlier, result.outcome.run), result.outcome.failure};
-    // Before a resend that did not reach the target, it may have got the request.
+    // A resend that did not reach the target may follow a sending that did.
     if (result.stage >= requests::AttemptStage::HeadSent || result.outcome.run != RunState::NotRun) {
         ++request.attemptsSent;
     }
