Show that no leader is elected while each sync takes 250 ms

The simulated disks can now take a fixed time for each sync, one after the other as in the thread that stores.

A candidate gives up after 250 to 500 ms, within which its own sync and then that of a voter have to end.

--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -26,6 +26,8 @@
     unsigned duplicatePercent = 0;
     unsigned maxMessageDelay = 1;
     unsigned maxSyncDelay = 1;
+    /** How long a sync takes before the random delay. Unless 0, each begins only when the one before it has ended. */
+    unsigned minSyncDelay = 0;
 };
 
 /** The durable content of a data folder. */
@@ -246,8 +248,10 @@
         effects.messages = std::move(later);
         const bool isStored = !host.replica->status().isStorageFailed || host.image;
         if (isStored && (sync || !effects.messages.empty())) {
-            host.pendingSyncs.emplace_back(now + Step * below(faults.maxSyncDelay * host.syncDelayFactor + 1),
-                                           std::move(effects));
+            const bool queues = faults.minSyncDelay > 0 && !host.pendingSyncs.empty();
+            const auto begin = queues ? std::max(now, host.pendingSyncs.back().first) : now;
+            const auto delay = below(faults.maxSyncDelay * host.syncDelayFactor + 1) + (sync ? faults.minSyncDelay : 0);
+            host.pendingSyncs.emplace_back(begin + Step * delay, std::move(effects));
         }
     }
 
--- a/tests/consensus/replica.cpp
+++ b/tests/consensus/replica.cpp
@@ -444,3 +444,13 @@
         CHECK(cluster.leader()->replica->status().term == Term(1));
     }
 }
+
+TEST_CASE("members elect a leader although each sync takes 250 ms")
+{
+    Cluster cluster(3, 1, Timing());
+    cluster.faults.maxSyncDelay = 0;
+    cluster.faults.minSyncDelay = static_cast<unsigned>(std::chrono::milliseconds(250) / testing::Step);
+    cluster.run(SettleTime);
+    CHECK(cluster.leader() != nullptr);
+    CHECK(cluster.violations.empty());
+}
